Add the design, the root package and the build

Cause: a new project needs one page that fixes the modules, their state and their messages, and the types that the modules share, before parts are built.

Ruled out: golangci-lint, as one of the modules that it needs is not served by the module proxy; staticcheck and revive take its place. A generator run at build time; generated code is committed instead.

Conclusion: the parts can be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Set-up needs Go and a C compiler only. `make demo` and `make test` are the two commands.
+GO ?= go
+export CGO_ENABLED = 1
+# Temporary files of builds and tests stay out of the tree.
+TOOL = $(GO) -C tools tool -n
+BIN = bin
+
+.PHONY: all build demo test fmt lint vet unit linkage bench generate clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: fmt vet lint unit
+
+fmt:
+	@out=$$(gofmt -s -l $$(git ls-files --cached --others --exclude-standard '*.go' | xargs -r ls -d 2>/dev/null)); \
+	if [ -n "$$out" ]; then echo "gofmt -s needed:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$$($(TOOL) staticcheck) ./...
+	$$($(TOOL) revive) -config revive.toml -set_exit_status ./...
+
+# The product binary must be linked to the C library.
+linkage: build
+	@$(GO) version -m $(BIN)/dogwoodford | grep -q 'CGO_ENABLED=1'
+	@readelf -d $(BIN)/dogwoodford 2>/dev/null | grep -q 'libc.so' || { echo "bin/dogwoodford is not linked to the C library"; exit 1; }
+
+unit:
+	$(GO) test -race -count=1 ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Needs protoc; the generated code is committed, so builds and tests do not.
+generate:
+	$(GO) generate ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,74 @@
+package dogwoodford
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Outcome says whether a request ran.
+type Outcome int
+
+const (
+	// Unknown means that the request may or may not have run.
+	Unknown Outcome = iota
+	// Ran means that a target ran the request and its answer is at hand.
+	Ran
+	// NotRun means that the request ran nowhere and will not run.
+	NotRun
+)
+
+// ErrOutcome is returned for a text that names no outcome.
+var ErrOutcome = eris.New("outcome is none of ran, not-run, unknown")
+
+// String returns the form used in headers.
+func (o Outcome) String() string {
+	switch o {
+	case Ran:
+		return "ran"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseOutcome parses the form used in headers.
+func ParseOutcome(s string) (Outcome, error) {
+	switch s {
+	case "ran":
+		return Ran, nil
+	case "not-run":
+		return NotRun, nil
+	case "unknown":
+		return Unknown, nil
+	}
+	return Unknown, fmt.Errorf("parse outcome %q: %w", s, ErrOutcome)
+}
+
+// Reason says why a request was refused. The empty reason means no refusal.
+type Reason string
+
+// Reasons for refusals, as sent in the Dogwoodford-Reason header.
+const (
+	ReasonNone        Reason = ""
+	ReasonNoConfig    Reason = "no-config"   // No contract is in force at this node.
+	ReasonCredential  Reason = "credential"  // The credential does not match the contract.
+	ReasonNoClass     Reason = "no-class"    // No class of the contract matches.
+	ReasonBadRequest  Reason = "bad-request" // A header or path is malformed.
+	ReasonTooLarge    Reason = "too-large"   // The body exceeds the bound of its class.
+	ReasonOverload    Reason = "overload"    // Shed below the cutoff.
+	ReasonQueueFull   Reason = "queue-full"  // Displaced from the queue by higher priorities.
+	ReasonDeadline    Reason = "deadline"    // The deadline would pass, or has passed, before the start.
+	ReasonCancelled   Reason = "cancelled"   // The caller went away before the start.
+	ReasonDraining    Reason = "draining"    // The target accepts no new work.
+	ReasonNoTarget    Reason = "no-target"   // No target of the service is reachable.
+	ReasonRetries     Reason = "retries"     // The retry allowance or resend budget is used up.
+	ReasonQuarantined Reason = "quarantined" // The content crashed its targets.
+	ReasonIsolated    Reason = "isolated"    // A suspect waits until no other suspect runs.
+	ReasonRange       Reason = "range"       // The owner of the key range is not available.
+	ReasonKeyAge      Reason = "key-age"     // The key is older than the records, or from the future.
+	ReasonDuplicate   Reason = "duplicate"   // The key was accepted before.
+	ReasonLost        Reason = "lost"        // The connection failed after the dispatch.
+	ReasonInternal    Reason = "internal"    // A fault of the node itself.
+)
