--- /dev/null
+++ b/core/process/dogpressure/doc.go
@@ -0,0 +1,26 @@
+// Package dogpressure keeps the cutoffs that services report on their answers
+// and decides what an entry or exit refuses early.
+//
+// A node keeps one Table. Its entry and exit record the Report of every answer
+// and ask Admit before every dispatch. Its guard asks Upstream for the report
+// to send with each of its own answers (docs/design.md, 5.3).
+//
+// A report has two parts. Own is the cutoff of the reporting target and applies
+// to every request. Below is the highest cutoff of the services that requests
+// of the same root class call beneath that target; it applies to that class
+// only, because other classes may not need these services.
+//
+// # Usage
+//
+//	t := dogpressure.New(dogpressure.Options{Rand: rng})
+//	if v := t.Admit(now, req); v.Action() == dogwoodford.Refuse {
+//		// Answer "not run".
+//	}
+//	// On an answer to req from node:
+//	t.Reported(now, req, node, report)
+//	// In the guard, when answering req:
+//	report := t.Upstream(now, req, adm.Load(now).Cutoff)
+//
+// The package does not set the cutoff of a target (dogadmit does) and does not
+// choose targets (dogroute does). It is not safe for concurrent use.
+package dogpressure
--- /dev/null
+++ b/core/request/dogroute/doc.go
@@ -0,0 +1,26 @@
+// Package dogroute chooses the target of one request.
+//
+// Router prefers the sender's data centre, then takes the better of two random
+// targets by the requests in flight and the load that the target reported,
+// scaled by its limit (docs/design.md, 5.4). Failures that this node observed
+// lower a target's weight at once; the claims of the target do not raise it.
+// New targets get their full share after 10 s, draining targets get nothing.
+//
+// Content that is not known to have completed anywhere goes only to the two
+// targets that rendezvous hashing of its digest picks, so content that crashes
+// its targets reaches few of them.
+//
+// # Usage
+//
+//	rt := dogroute.New(dogroute.Options{DataCentre: "midrand", Rand: rng})
+//	target, reason := rt.Pick(now, req, targets, tried)
+//	if reason != dogwoodford.ReasonNone {
+//		// No target: answer "not run".
+//	}
+//	rt.Sent(now, target.Node)
+//	// On the end of the dispatch:
+//	rt.Answered(now, target.Node, latency, failed, load)
+//
+// The package does not know which targets exist; the caller passes them in. It
+// is not safe for concurrent use.
+package dogroute
