--- a/admission.go
+++ b/admission.go
@@ -53,6 +53,7 @@
 // Sample is what was observed of a request that ended.
 type Sample struct {
 	Latency   time.Duration // From start to the last byte of the answer.
+	Children  time.Duration // Part of Latency spent waiting for child calls.
 	Failed    bool          // The target broke off or answered 5xx.
 	Cancelled bool          // The caller went away; the latency says nothing.
 }
--- /dev/null
+++ b/core/process/dogadmit/cutoff.go
@@ -0,0 +1,93 @@
+package dogadmit
+
+import (
+	"time"
+
+	"dogwoodford"
+)
+
+const (
+	// cutoffWindow is the time over which the queue must stay long before the
+	// cutoff rises, and short before it falls.
+	cutoffWindow = 100 * time.Millisecond
+	// cutoffMemory is the share of the counts kept from one window to the
+	// next; 0.8 averages over half a second, which gives targets with 15 slots
+	// enough arrivals to estimate from.
+	cutoffMemory = 0.8
+	// maxWindows bounds the work after an idle time. The cutoff reaches zero
+	// from any value in fewer windows.
+	maxWindows = 20
+)
+
+// cutoff is the lowest admitted priority. It rises at once to the value that
+// the recent arrivals and starts call for, and falls in steps that double while
+// the queue stays empty, so the full range is crossed in about a second.
+type cutoff struct {
+	value    dogwoodford.Priority
+	step     dogwoodford.Priority
+	arrivals [dogwoodford.MaxPriority + 1]float32
+	starts   float64
+	end      time.Time // End of the present window.
+	least    int       // Shortest queue in the window.
+}
+
+func (c *cutoff) arrived(p dogwoodford.Priority) { c.arrivals[p]++ }
+
+func (c *cutoff) started() { c.starts++ }
+
+// sawQueue records a queue length at the moment when it is shortest.
+func (c *cutoff) sawQueue(n int) { c.least = min(c.least, n) }
+
+// advance closes the windows that ended. queued is the present queue length and
+// allowed the length that the target delay permits.
+func (c *cutoff) advance(now time.Time, queued, allowed int) {
+	if c.end.IsZero() {
+		c.end = now.Add(cutoffWindow)
+		c.least = queued
+		return
+	}
+	for i := 0; !now.Before(c.end); i++ {
+		if i == maxWindows {
+			c.end = now.Add(cutoffWindow)
+			return
+		}
+		c.close(allowed)
+		c.end = c.end.Add(cutoffWindow)
+		c.least = queued
+	}
+}
+
+func (c *cutoff) close(allowed int) {
+	switch {
+	case c.least > allowed:
+		c.raise()
+		c.step = 0
+	case c.least == 0 && c.value > 0:
+		c.step = max(1, 2*c.step)
+		c.value = max(0, c.value-c.step)
+	default:
+		c.step = 0
+	}
+	for i := range c.arrivals {
+		c.arrivals[i] *= cutoffMemory
+	}
+	c.starts *= cutoffMemory
+}
+
+// raise sets the cutoff to the lowest value above which the recent arrivals do
+// not exceed the recent starts, and at least to the next priority in use.
+func (c *cutoff) raise() {
+	sum := 0.0
+	next := c.value
+	for p := dogwoodford.MaxPriority; p > c.value; p-- {
+		n := float64(c.arrivals[p])
+		if n > 0 {
+			next = p
+		}
+		if sum += n; sum > c.starts {
+			c.value = p
+			return
+		}
+	}
+	c.value = next
+}
--- a/core/process/dogpressure/table.go
+++ b/core/process/dogpressure/table.go
@@ -13,6 +13,11 @@
 	DefaultProbeIn = 64
 )
 
+// callMemory is the time for which a class counts as calling a service after
+// its last call. It exceeds the expiry of reports, so that a report is not
+// dropped because early refusals keep the class from calling.
+const callMemory = 10 * time.Second
+
 // Options are the settings of a Table. Zero fields take the defaults.
 type Options struct {
 	Expiry  time.Duration // Age at which a report no longer counts.
@@ -26,9 +31,32 @@
 	Below dogwoodford.Priority // Highest cutoff of the services that the class calls beneath it.
 }
 
+// class names a root class of one customer at one depth of the call tree. With
+// the depth, what a node learns about calls at depth n depends on depths above
+// n only. Without it, a node that is an entry for a class and also serves it
+// further down hears its own report back, and a cutoff never ends.
+type class struct {
+	customer, name string
+	hop            int
+}
+
+// known is what one node of a service reported.
+type known struct {
+	own   dogwoodford.Priority
+	at    time.Time
+	below map[class]below
+}
+
+type below struct {
+	cutoff dogwoodford.Priority
+	at     time.Time
+}
+
 // Table holds the reports that one node received.
 type Table struct {
-	opts Options
+	opts     Options
+	services map[string]map[string]*known   // By service and node.
+	calls    map[class]map[string]time.Time // Last call of a class by service.
 }
 
 // New returns an empty table. It panics if Rand is nil.
@@ -36,24 +64,107 @@
 	if o.Rand == nil {
 		panic("dogpressure: Options need Rand")
 	}
-	return &Table{opts: o}
+	if o.Expiry == 0 {
+		o.Expiry = DefaultExpiry
+	}
+	if o.ProbeIn == 0 {
+		o.ProbeIn = DefaultProbeIn
+	}
+	return &Table{
+		opts:     o,
+		services: make(map[string]map[string]*known),
+		calls:    make(map[class]map[string]time.Time),
+	}
 }
 
-// Reported records the report of an answer to r by a node of r.Service().
-func (t *Table) Reported(_ time.Time, _ dogwoodford.Request, _ string, _ Report) {}
+// Reported records the report of an answer to r by a node of r.Service(). The
+// class of r must be its root class.
+func (t *Table) Reported(now time.Time, r dogwoodford.Request, node string, rep Report) {
+	nodes := t.services[r.Service()]
+	if nodes == nil {
+		nodes = make(map[string]*known)
+		t.services[r.Service()] = nodes
+	}
+	k := nodes[node]
+	if k == nil {
+		t.dropExpired(now, nodes)
+		k = &known{below: make(map[class]below)}
+		nodes[node] = k
+	}
+	k.own, k.at = rep.Own, now
+	c := classOf(r)
+	if rep.Below > 0 {
+		k.below[c] = below{cutoff: rep.Below, at: now}
+	} else {
+		delete(k.below, c)
+	}
+}
 
 // Admit decides whether to dispatch r. It returns Run, or Refuse with the
 // reason overload and a hint when to come back.
-func (t *Table) Admit(_ time.Time, _ dogwoodford.Request) dogwoodford.Verdict {
-	return dogwoodford.RunVerdict()
+func (t *Table) Admit(now time.Time, r dogwoodford.Request) dogwoodford.Verdict {
+	c := classOf(r)
+	calls := t.calls[c]
+	if calls == nil {
+		calls = make(map[string]time.Time)
+		t.calls[c] = calls
+	}
+	calls[r.Service()] = now
+	if r.Priority() >= t.cutoff(now, r.Service(), c) || t.opts.Rand.IntN(t.opts.ProbeIn) == 0 {
+		return dogwoodford.RunVerdict()
+	}
+	wait := time.Second + time.Duration(t.opts.Rand.Int64N(int64(time.Second)))
+	return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, wait)
 }
 
 // Cutoff returns the lowest priority of the class of r that some target of
 // r.Service() admits, as far as fresh reports say.
-func (t *Table) Cutoff(_ time.Time, _ dogwoodford.Request) dogwoodford.Priority { return 0 }
+func (t *Table) Cutoff(now time.Time, r dogwoodford.Request) dogwoodford.Priority {
+	return t.cutoff(now, r.Service(), classOf(r))
+}
 
 // Upstream returns the report that a guard sends with its answer to r. own is
 // the cutoff of its own target.
-func (t *Table) Upstream(_ time.Time, _ dogwoodford.Request, own dogwoodford.Priority) Report {
-	return Report{Own: own}
+func (t *Table) Upstream(now time.Time, r dogwoodford.Request, own dogwoodford.Priority) Report {
+	c := classOf(r)
+	c.hop++
+	rep := Report{Own: own}
+	for service, at := range t.calls[c] {
+		if now.Sub(at) >= callMemory {
+			delete(t.calls[c], service)
+			continue
+		}
+		rep.Below = max(rep.Below, t.cutoff(now, service, c))
+	}
+	return rep
+}
+
+// cutoff returns the lowest of what the fresh reports of the service's nodes
+// demand of class c: a request is hopeless only if no target admits it.
+func (t *Table) cutoff(now time.Time, service string, c class) dogwoodford.Priority {
+	least, found := dogwoodford.Priority(0), false
+	for _, k := range t.services[service] {
+		if now.Sub(k.at) >= t.opts.Expiry {
+			continue
+		}
+		p := k.own
+		if b, ok := k.below[c]; ok && now.Sub(b.at) < t.opts.Expiry {
+			p = max(p, b.cutoff)
+		}
+		if !found || p < least {
+			least, found = p, true
+		}
+	}
+	return least
+}
+
+// dropExpired bounds the table by the nodes present.
+func (t *Table) dropExpired(now time.Time, nodes map[string]*known) {
+	for name, k := range nodes {
+		if now.Sub(k.at) >= t.opts.Expiry {
+			delete(nodes, name)
+		}
+	}
 }
+
+func classOf(r dogwoodford.Request) class { return class{r.Customer(), r.Class(), r.Hop()} }
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -1,12 +1,30 @@
 package dogroute
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwoodford"
 )
 
+const (
+	// reportAge is the age at which a reported load no longer counts, as for
+	// reported cutoffs.
+	reportAge = 2 * time.Second
+	// failureStep is the share of the newest answer in the failure rate. Five
+	// failures in a row leave a target about 3% of its share.
+	failureStep = 0.3
+	// failureHalfLife is the time in which an unused target gets half of its
+	// lost share back.
+	failureHalfLife = 2 * time.Second
+	// leastWeight keeps a trickle of requests, so that recovery is noticed.
+	leastWeight = 0.01
+	// full is the use of the local targets above which others are considered.
+	full = 0.9
+)
+
 // Options are the settings of a Router. Zero fields take the defaults.
 type Options struct {
 	DataCentre string        // Data centre of this node.
@@ -18,7 +36,28 @@
 
 // Router implements dogwoodford.Router for one node.
 type Router struct {
-	opts Options
+	opts    Options
+	nodes   map[string]*node
+	known   known
+	scratch []candidate
+}
+
+// node is what this node observed of another.
+type node struct {
+	inFlight  int // Own requests.
+	load      dogwoodford.Load
+	loadAt    time.Time
+	ownAtLoad int // Own requests in flight when the load was reported.
+	failures  float64
+	failedAt  time.Time
+	usedAt    time.Time
+}
+
+// candidate is a target that may be picked.
+type candidate struct {
+	target dogwoodford.Target
+	weight float64
+	use    float64 // Share of the limit in use.
 }
 
 var _ dogwoodford.Router = (*Router)(nil)
@@ -28,21 +67,193 @@
 	if o.Rand == nil {
 		panic("dogroute: Options need Rand")
 	}
-	return &Router{opts: o}
+	if o.SlowStart == 0 {
+		o.SlowStart = 10 * time.Second
+	}
+	if o.Present == 0 {
+		o.Present = 30 * time.Second
+	}
+	if o.Known == 0 {
+		o.Known = 1 << 16
+	}
+	return &Router{opts: o, nodes: make(map[string]*node), known: newKnown(o.Known)}
 }
 
 // Pick chooses a target; see dogwoodford.Router. Requests with a zero digest
-// are unrestricted.
-func (rt *Router) Pick(_ time.Time, _ dogwoodford.Request, _ []dogwoodford.Target, _ []string) (dogwoodford.Target, dogwoodford.Reason) {
-	return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
+// are unrestricted. Targets that failed must stay in targets with their last
+// Seen time, or content unknown until then would move on to further targets.
+func (rt *Router) Pick(now time.Time, r dogwoodford.Request, targets []dogwoodford.Target, tried []string) (dogwoodford.Target, dogwoodford.Reason) {
+	restricted := r.Digest() != 0 && !rt.known.has(r.Digest())
+	var two [2]string
+	if restricted {
+		two = rt.rendezvous(now, r, targets)
+	}
+	list := rt.scratch[:0]
+	for _, t := range targets {
+		if t.Service != r.Service() || t.State != dogwoodford.Ready || slices.Contains(tried, t.Node) {
+			continue
+		}
+		if restricted && t.Node != two[0] && t.Node != two[1] {
+			continue
+		}
+		list = append(list, rt.candidate(now, t))
+	}
+	rt.scratch = list
+	if len(list) == 0 {
+		return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
+	}
+	list = rt.admitting(now, r.Priority(), list)
+	local := partition(list, func(c candidate) bool { return c.target.DataCentre == rt.opts.DataCentre })
+	if local > 0 {
+		best := rt.choose(list[:local])
+		// A local target that fails often must not keep its whole data centre.
+		if best.use < full && rt.opts.Rand.Float64() < best.weight || local == len(list) {
+			return best.target, dogwoodford.ReasonNone
+		}
+	}
+	return rt.choose(list).target, dogwoodford.ReasonNone
 }
 
 // Sent records a dispatch.
-func (rt *Router) Sent(_ time.Time, _ string) {}
+func (rt *Router) Sent(now time.Time, name string) {
+	n := rt.node(name)
+	n.inFlight++
+	n.usedAt = now
+}
 
-// Answered records the end of a dispatch; see dogwoodford.Router.
-func (rt *Router) Answered(_ time.Time, _ string, _ time.Duration, _ bool, _ *dogwoodford.Load) {
+// Answered records the end of a dispatch; see dogwoodford.Router. A refusal for
+// overload is not a failure: its load already tells.
+func (rt *Router) Answered(now time.Time, name string, _ time.Duration, failed bool, load *dogwoodford.Load) {
+	n := rt.node(name)
+	n.inFlight = max(0, n.inFlight-1)
+	n.usedAt = now
+	rate := n.rate(now)
+	if failed {
+		n.failures = rate + failureStep*(1-rate)
+	} else {
+		n.failures = rate - failureStep*rate
+	}
+	n.failedAt = now
+	if load != nil {
+		n.load, n.loadAt, n.ownAtLoad = *load, now, n.inFlight
+	}
 }
 
 // Completed records that the content with this digest completed somewhere.
-func (rt *Router) Completed(_ uint64) {}
+func (rt *Router) Completed(digest uint64) {
+	if digest != 0 {
+		rt.known.add(digest)
+	}
+}
+
+// node returns the record of a node. Records without requests in flight that
+// were not used for the presence time are dropped when a new one is made.
+func (rt *Router) node(name string) *node {
+	if n := rt.nodes[name]; n != nil {
+		return n
+	}
+	latest := time.Time{}
+	for _, n := range rt.nodes {
+		if n.usedAt.After(latest) {
+			latest = n.usedAt
+		}
+	}
+	for other, n := range rt.nodes {
+		if n.inFlight == 0 && latest.Sub(n.usedAt) > rt.opts.Present {
+			delete(rt.nodes, other)
+		}
+	}
+	n := &node{}
+	rt.nodes[name] = n
+	return n
+}
+
+// rate returns the failure rate, which decays while the target is not used.
+func (n *node) rate(now time.Time) float64 {
+	if n.failures == 0 {
+		return 0
+	}
+	return n.failures * math.Exp2(-now.Sub(n.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+func (rt *Router) candidate(now time.Time, t dogwoodford.Target) candidate {
+	c := candidate{target: t, weight: 1}
+	if age := now.Sub(t.Since); age < rt.opts.SlowStart {
+		c.weight = max(0, float64(age)/float64(rt.opts.SlowStart))
+	}
+	limit, busy := t.Slots, 0
+	if n := rt.nodes[t.Node]; n != nil {
+		ok := 1 - n.rate(now)
+		c.weight *= ok * ok
+		busy = n.inFlight
+		if n.fresh(now) {
+			limit = n.load.Limit
+			reported := n.load.InFlight + n.load.Queued + n.inFlight - n.ownAtLoad
+			busy = max(busy, reported)
+		}
+	}
+	c.weight = max(c.weight, leastWeight)
+	c.use = float64(busy) / float64(max(1, limit))
+	return c
+}
+
+func (n *node) fresh(now time.Time) bool {
+	return !n.loadAt.IsZero() && now.Sub(n.loadAt) < reportAge
+}
+
+// admitting returns the candidates whose reported cutoff admits p, or all if
+// there are none.
+func (rt *Router) admitting(now time.Time, p dogwoodford.Priority, list []candidate) []candidate {
+	k := partition(list, func(c candidate) bool {
+		n := rt.nodes[c.target.Node]
+		return n == nil || !n.fresh(now) || n.load.Cutoff <= p
+	})
+	if k > 0 {
+		return list[:k]
+	}
+	return list
+}
+
+// choose draws two different candidates by weight and returns the less used.
+func (rt *Router) choose(list []candidate) candidate {
+	a := rt.draw(list, -1)
+	b := rt.draw(list, a)
+	if b < 0 || list[a].use <= list[b].use {
+		return list[a]
+	}
+	return list[b]
+}
+
+// draw returns the index of a random candidate other than not, or -1.
+func (rt *Router) draw(list []candidate, not int) int {
+	sum := 0.0
+	for i, c := range list {
+		if i != not {
+			sum += c.weight
+		}
+	}
+	x, last := rt.opts.Rand.Float64()*sum, -1
+	for i, c := range list {
+		if i == not {
+			continue
+		}
+		if last = i; x < c.weight {
+			break
+		}
+		x -= c.weight
+	}
+	return last
+}
+
+// partition moves the candidates for which f is true to the front, keeping
+// their order, and returns their number.
+func partition(list []candidate, f func(candidate) bool) int {
+	k := 0
+	for i := range list {
+		if f(list[i]) {
+			list[k], list[i] = list[i], list[k]
+			k++
+		}
+	}
+	return k
+}
