Add contracts, settings, events, metrics, traces and status: first API

Cause: the parts of the node are assembled against these packages, so their exported types are needed before their tests are complete.

Ruled out: separate INI readers for contracts and settings; both need the same strict rules, so core/version/dogini holds them once.

Change: dogini, dogcontract, dogsettings, doglog, dogmetric, dogtrace and dogstatus with their exported types, doc comments and first implementation.

Conclusion: the API is ready to be used; the tests may still move details.

--- /dev/null
+++ b/core/version/dogcontract/parse.go
@@ -0,0 +1,228 @@
+package dogcontract
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/version/dogini"
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of the numbers in a contract.
+const (
+	MaxGeneration    = 1 << 53 // JSON readers hold larger numbers inexactly.
+	MaxResendPercent = 100
+	MaxResendBurst   = 1_000_000
+	MaxWorkers       = 10_000
+	MaxSlots         = 100_000
+	MaxConnections   = 1_000_000
+	MaxServices      = 256
+	MaxClasses       = 1024
+	MaxRetries       = 16
+	MaxCredentials   = 2
+	MinDeadline      = time.Millisecond
+	// MaxDeadline is half the time for which owners keep records, so that a
+	// request ends well before its record does.
+	MaxDeadline = 5 * time.Minute
+	// MaxBodyBytes bounds an upload; bodies are streamed, not held.
+	MaxBodyBytes = 16 << 30
+	// MaxPath is the length of the longest path prefix.
+	MaxPath = 1024
+)
+
+// maxImportances is the number of different importances of one contract.
+const maxImportances = dogwoodford.MaxImportance + 1
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// repeatable lists the methods that net/http may replay by itself on a broken
+// connection, which at-most-once execution excludes.
+var repeatable = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+
+// Parse parses and checks a contract. file is the name used in errors. The
+// error is a dogini.Problems with every fault.
+func Parse(file string, data []byte) (*Contract, error) {
+	doc := dogini.Parse(file, data)
+	c := &Contract{}
+	c.parseHead(doc.Section("contract"))
+	c.parseServices(doc)
+	c.parseClasses(doc)
+	if err := doc.Err(); err != nil {
+		return nil, fmt.Errorf("contract: %w", err)
+	}
+	c.buildIndex()
+	return c, nil
+}
+
+func (c *Contract) parseHead(s *dogini.Section) {
+	c.customer = s.Name("customer")
+	c.generation = s.Int("generation", dogini.Range{Min: 1, Max: MaxGeneration})
+	c.resendPercent = int(s.Int("resend_percent", dogini.Range{Min: 0, Max: MaxResendPercent}))
+	c.resendBurst = int(s.Int("resend_burst", dogini.Range{Min: 0, Max: MaxResendBurst}))
+	texts := s.List("credential")
+	if len(texts) > MaxCredentials {
+		s.Report("credential", "%d credentials are given, at most %d are allowed", len(texts), MaxCredentials)
+	}
+	for i, text := range texts {
+		sum, ok := parseDigest(text)
+		if !ok {
+			// The value is not repeated: it may be a secret in plain text.
+			s.Report("credential", "credential %d is not sha256: and 64 hexadecimal digits", i+1)
+		}
+		if slices.Contains(c.credentials, sum) {
+			s.Report("credential", "credential %d is repeated", i+1)
+		}
+		c.credentials = append(c.credentials, sum)
+	}
+}
+
+func parseDigest(text string) (sum [sha256.Size]byte, ok bool) {
+	digits, ok := strings.CutPrefix(text, "sha256:")
+	if !ok || len(digits) != hex.EncodedLen(len(sum)) {
+		return sum, false
+	}
+	_, err := hex.Decode(sum[:], []byte(digits))
+	return sum, err == nil
+}
+
+func (c *Contract) parseServices(doc *dogini.Document) {
+	sections := doc.Kind("service")
+	if len(sections) == 0 {
+		doc.Report("service", "", "the contract notes no service")
+	}
+	if len(sections) > MaxServices {
+		doc.Report("service", "", "%d services are given, at most %d are allowed", len(sections), MaxServices)
+	}
+	for _, s := range sections {
+		checkLabel(s)
+		svc := Service{
+			name:        s.Label(),
+			workers:     int(s.Int("workers", dogini.Range{Min: 1, Max: MaxWorkers})),
+			slots:       int(s.Int("slots", dogini.Range{Min: 1, Max: MaxSlots})),
+			connections: int(s.Int("connections", dogini.Range{Min: 1, Max: MaxConnections})),
+		}
+		if svc.connections < svc.slots {
+			s.Report("connections", "%d connections cannot fill %d slots", svc.connections, svc.slots)
+		}
+		c.services = append(c.services, svc)
+	}
+}
+
+func (c *Contract) parseClasses(doc *dogini.Document) {
+	sections := doc.Kind("class")
+	if len(sections) == 0 {
+		doc.Report("class", "", "the contract has no class")
+	}
+	if len(sections) > MaxClasses {
+		doc.Report("class", "", "%d classes are given, at most %d are allowed", len(sections), MaxClasses)
+	}
+	importances := make(map[string]bool)
+	places := make(map[string]string)
+	for _, s := range sections {
+		checkLabel(s)
+		class := c.parseClass(s, importances)
+		for _, m := range class.methods {
+			place := class.service + " " + m + " " + class.path
+			if other, ok := places[place]; ok {
+				s.Report("path", "class %s has the same service, method %s and path", other, m)
+				continue
+			}
+			places[place] = class.name
+		}
+		c.classes = append(c.classes, class)
+	}
+	if len(importances) > maxImportances {
+		doc.Report("class", "importance", "%d different importances are given, at most %d are allowed",
+			len(importances), maxImportances)
+	}
+}
+
+func (c *Contract) parseClass(s *dogini.Section, importances map[string]bool) Class {
+	class := Class{
+		name:       s.Label(),
+		service:    s.Name("service"),
+		methods:    s.List("method"),
+		path:       s.Text("path"),
+		importance: int(s.Int("importance", dogini.Range{Min: 0, Max: dogwoodford.MaxImportance})),
+		idempotent: s.Bool("idempotent"),
+		deadline:   s.Duration("deadline", MinDeadline, MaxDeadline),
+		retries:    int(s.Int("retries", dogini.Range{Min: 0, Max: MaxRetries})),
+		maxBody:    s.Bytes("max_body", dogini.Range{Min: 0, Max: MaxBodyBytes}),
+	}
+	if v := s.TextOr("importance", ""); v != "" {
+		importances[v] = true
+	}
+	if _, ok := c.Service(class.service); !ok && class.service != "" {
+		s.Report("service", "service %q has no section", class.service)
+	}
+	checkMethods(s, class)
+	if class.path != "" && (!canonical(class.path) || len(class.path) > MaxPath || strings.ContainsAny(class.path, "?# ")) {
+		s.Report("path", "the path must start with a slash, have no empty, \".\" or \"..\" segment, "+
+			"no query, and at most %d bytes", MaxPath)
+	}
+	return class
+}
+
+func checkMethods(s *dogini.Section, class Class) {
+	for i, m := range class.methods {
+		switch {
+		case m == "": // Reported by List.
+		case !slices.Contains(methods, m):
+			s.Report("method", "%q is none of %s", m, strings.Join(methods, ", "))
+		case slices.Contains(class.methods[:i], m):
+			s.Report("method", "%s is repeated", m)
+		case !class.idempotent && s.Has("idempotent") && slices.Contains(repeatable, m):
+			s.Report("idempotent", "a class with method %s must be idempotent: HTTP clients repeat such requests", m)
+		}
+	}
+}
+
+func checkLabel(s *dogini.Section) {
+	if !dogini.ValidName(s.Label()) {
+		s.Report("", "%q is not a name of 1 to 63 lower-case letters, digits and inner hyphens", s.Label())
+	}
+}
+
+// ErrGeneration is returned for a text without exactly one generation line in
+// its contract section.
+var ErrGeneration = eris.New("the text has no single generation")
+
+var (
+	sectionLine    = regexp.MustCompile(`^\s*\[\s*([^\]]*?)\s*\]`)
+	generationLine = regexp.MustCompile(`^(\s*generation\s*=\s*)(\d+)(.*)$`)
+)
+
+// SetGeneration returns the text with another generation; comments and all
+// other lines stay as they are. n must be in [1, MaxGeneration].
+func SetGeneration(data []byte, n int64) ([]byte, error) {
+	if n < 1 || n > MaxGeneration {
+		return nil, fmt.Errorf("set generation %d: %w", n, ErrGeneration)
+	}
+	lines := strings.Split(string(data), "\n")
+	section, found := "", 0
+	for i, line := range lines {
+		if m := sectionLine.FindStringSubmatch(line); m != nil {
+			section = m[1]
+			continue
+		}
+		if m := generationLine.FindStringSubmatch(line); m != nil && section == "contract" {
+			lines[i] = m[1] + strconv.FormatInt(n, 10) + m[3]
+			found++
+		}
+	}
+	if found != 1 {
+		return nil, fmt.Errorf("set generation: %d generation lines: %w", found, ErrGeneration)
+	}
+	return []byte(strings.Join(lines, "\n")), nil
+}
--- /dev/null
+++ b/core/version/dogini/doc.go
@@ -0,0 +1,19 @@
+// Package dogini reads INI text strictly, for contracts and node settings.
+//
+// Every fault is recorded as a Problem that names the file, the section and
+// the key, and reading goes on, so that one pass reports all of them. Keys
+// that no accessor asked for and sections that nobody took are problems too,
+// as are repeated keys and repeated sections.
+//
+// # Usage
+//
+//	doc := dogini.Parse("firm-1.ini", data)
+//	sec := doc.Section("contract")
+//	name := sec.Name("customer")
+//	gen := sec.Int("generation", dogini.Range{Min: 1, Max: 1 << 53})
+//	if err := doc.Err(); err != nil { // Unknown keys are reported here.
+//		return err
+//	}
+//
+// The package reads no files and does not expand references between keys.
+package dogini
--- /dev/null
+++ b/io/process/doglog/events.go
@@ -0,0 +1,97 @@
+package doglog
+
+import "log/slog"
+
+// Events of a node's life: 1000 to 1099.
+var (
+	NodeStarted        = define(1001, "node-started", slog.LevelInfo)
+	NodeReady          = define(1002, "node-ready", slog.LevelInfo)
+	NodeDraining       = define(1003, "node-draining", slog.LevelInfo)
+	NodeStopped        = define(1004, "node-stopped", slog.LevelInfo)
+	ListenFailed       = define(1005, "listen-failed", slog.LevelError)
+	ServiceRestarted   = define(1006, "service-restarted", slog.LevelError)
+	DrainTimedOut      = define(1007, "drain-timed-out", slog.LevelWarn)
+	ControlOverran     = define(1008, "control-overran", slog.LevelWarn)
+	TraceExportFailed  = define(1009, "trace-export-failed", slog.LevelWarn)
+	AdminRequestFailed = define(1010, "admin-request-failed", slog.LevelWarn)
+)
+
+// Events of requests: 1100 to 1199. They can occur for each request; use a
+// Limiter.
+var (
+	RequestRefused     = define(1101, "request-refused", slog.LevelDebug)
+	RequestUnknown     = define(1102, "request-unknown", slog.LevelWarn)
+	RequestPanicked    = define(1103, "request-panicked", slog.LevelError)
+	ChildWithoutToken  = define(1104, "child-without-token", slog.LevelWarn)
+	CredentialRejected = define(1105, "credential-rejected", slog.LevelWarn)
+	AnswerTruncated    = define(1106, "answer-truncated", slog.LevelWarn)
+	RetriesUsedUp      = define(1107, "retries-used-up", slog.LevelDebug)
+	ResendsUsedUp      = define(1108, "resends-used-up", slog.LevelInfo)
+	PeerKeyRejected    = define(1109, "peer-key-rejected", slog.LevelWarn)
+	RequestFinished    = define(1110, "request-finished", slog.LevelDebug)
+)
+
+// Events of the target beside the node: 1200 to 1299.
+var (
+	TargetReady        = define(1201, "target-ready", slog.LevelInfo)
+	TargetDied         = define(1202, "target-died", slog.LevelWarn)
+	TargetDraining     = define(1203, "target-draining", slog.LevelInfo)
+	TargetHealthFailed = define(1204, "target-health-failed", slog.LevelWarn)
+	SlotsChanged       = define(1205, "slots-changed", slog.LevelInfo)
+	LimitChanged       = define(1206, "limit-changed", slog.LevelDebug)
+	CutoffRaised       = define(1207, "cutoff-raised", slog.LevelWarn)
+	CutoffLowered      = define(1208, "cutoff-lowered", slog.LevelInfo)
+)
+
+// Events of key ranges: 1300 to 1399.
+var (
+	RangeTaken        = define(1301, "range-taken", slog.LevelInfo)
+	RangeTakenOver    = define(1302, "range-taken-over", slog.LevelWarn)
+	RangeHandedOver   = define(1303, "range-handed-over", slog.LevelInfo)
+	RangeLost         = define(1304, "range-lost", slog.LevelWarn)
+	RangeRenewFailed  = define(1305, "range-renew-failed", slog.LevelWarn)
+	RangePromised     = define(1306, "range-promised", slog.LevelInfo)
+	RangeReleased     = define(1307, "range-released", slog.LevelWarn)
+	RecordsReceived   = define(1308, "records-received", slog.LevelInfo)
+	RecordsSendFailed = define(1309, "records-send-failed", slog.LevelError)
+)
+
+// Events of membership: 1400 to 1499.
+var (
+	MemberJoined    = define(1401, "member-joined", slog.LevelInfo)
+	MemberChanged   = define(1402, "member-changed", slog.LevelInfo)
+	MemberSuspected = define(1403, "member-suspected", slog.LevelInfo)
+	MemberFailed    = define(1404, "member-failed", slog.LevelWarn)
+	MemberLeft      = define(1405, "member-left", slog.LevelInfo)
+	SelfRefuted     = define(1406, "self-refuted", slog.LevelInfo)
+	SeedFailed      = define(1407, "seed-failed", slog.LevelWarn)
+	DrainMarked     = define(1408, "drain-marked", slog.LevelInfo)
+	NameClash       = define(1409, "name-clash", slog.LevelError)
+)
+
+// Events of contracts: 1500 to 1599.
+var (
+	ContractInForce    = define(1501, "contract-in-force", slog.LevelInfo)
+	ContractRejected   = define(1502, "contract-rejected", slog.LevelError)
+	ContractReverted   = define(1503, "contract-reverted", slog.LevelWarn)
+	ContractWriteBack  = define(1504, "contract-write-back", slog.LevelWarn)
+	ContractPullFailed = define(1505, "contract-pull-failed", slog.LevelWarn)
+	ContractRemoved    = define(1506, "contract-removed", slog.LevelWarn)
+)
+
+// Events of the platform's object service: 1600 to 1699.
+var (
+	PlatformLost     = define(1601, "platform-lost", slog.LevelWarn)
+	PlatformBack     = define(1602, "platform-back", slog.LevelInfo)
+	PlatformConflict = define(1603, "platform-conflict", slog.LevelInfo)
+	WatchFailed      = define(1604, "watch-failed", slog.LevelWarn)
+	ObjectInvalid    = define(1605, "object-invalid", slog.LevelError)
+	WatcherChosen    = define(1606, "watcher-chosen", slog.LevelInfo)
+)
+
+// Events of requests that crash targets: 1700 to 1799.
+var (
+	SuspectReported   = define(1701, "suspect-reported", slog.LevelWarn)
+	DigestQuarantined = define(1702, "digest-quarantined", slog.LevelError)
+	DigestReleased    = define(1703, "digest-released", slog.LevelInfo)
+)
--- /dev/null
+++ b/io/process/dogmetric/metrics.go
@@ -0,0 +1,75 @@
+package dogmetric
+
+// Metrics of requests.
+var (
+	Requests       = define("requests", Labelled, "outcome")
+	Refusals       = define("refusals", Labelled, "reason")
+	ClassOffered   = define("class_offered", Labelled, "class")
+	ClassCompleted = define("class_completed", Labelled, "class")
+	ClassRefused   = define("class_refused", Labelled, "class")
+	EntryLatency   = define("entry_latency", Latency, "ms")
+	AddedLatency   = define("added_latency", Latency, "ms")
+	BytesIn        = define("bytes_in", Counter, "bytes")
+	BytesOut       = define("bytes_out", Counter, "bytes")
+	Panics         = define("panics", Counter, "requests")
+)
+
+// Metrics of retries and child calls.
+var (
+	RetriesSpent         = define("retries_spent", Counter, "attempts")
+	RetriesReturned      = define("retries_returned", Counter, "attempts")
+	ResendsRefused       = define("resends_refused", Counter, "requests")
+	ChildCalls           = define("child_calls", Counter, "calls")
+	ChildWithoutToken    = define("child_without_token", Counter, "calls")
+	TruncatedAnswers     = define("truncated_answers", Counter, "answers")
+	CancelledInProgress  = define("cancelled_in_progress", Counter, "requests")
+	CredentialsRejected  = define("credentials_rejected", Counter, "requests")
+	PeerKeysRejected     = define("peer_keys_rejected", Counter, "requests")
+	EarlyRefusals        = define("early_refusals", Counter, "requests")
+	PressureProbes       = define("pressure_probes", Counter, "requests")
+	ConnectionsOpened    = define("connections_opened", Counter, "connections")
+	ConnectionsToTarget  = define("connections_to_target", Gauge, "connections")
+	RequestsInProgress   = define("requests_in_progress", Gauge, "requests")
+	DispatchesToService  = define("dispatches_to_service", Labelled, "service")
+	DispatchesElsewhere  = define("dispatches_elsewhere", Counter, "dispatches")
+	DispatchesOtherPlace = define("dispatches_other_data_centre", Counter, "dispatches")
+)
+
+// Metrics of the target beside the node.
+var (
+	TargetInFlight  = define("target_in_flight", Gauge, "requests")
+	TargetQueued    = define("target_queued", Gauge, "requests")
+	TargetLimit     = define("target_limit", Gauge, "requests")
+	TargetCutoff    = define("target_cutoff", Gauge, "priority")
+	TargetLatency   = define("target_latency", Latency, "ms")
+	QueueDelay      = define("queue_delay", Latency, "ms")
+	TargetDeaths    = define("target_deaths", Counter, "deaths")
+	SuspectsHeld    = define("suspects_held", Gauge, "digests")
+	QuarantinesHeld = define("quarantines_held", Gauge, "digests")
+)
+
+// Metrics of key ranges.
+var (
+	RangesOwned      = define("ranges_owned", Gauge, "ranges")
+	RangeRenewals    = define("range_renewals", Counter, "writes")
+	RangeTakeovers   = define("range_takeovers", Counter, "ranges")
+	RangePromises    = define("range_promises", Counter, "promises")
+	RecordsHeld      = define("records_held", Gauge, "records")
+	RecordsReplayed  = define("records_replayed", Counter, "answers")
+	DuplicatesCaught = define("duplicates_caught", Counter, "requests")
+)
+
+// Metrics of control.
+var (
+	Members              = define("members", Gauge, "nodes")
+	MemberFailures       = define("member_failures", Counter, "nodes")
+	PeerMessages         = define("peer_messages", Counter, "messages")
+	PeerBytes            = define("peer_bytes", Counter, "bytes")
+	ContractGeneration   = define("contract_generation", LabelledGauge, "customer")
+	ContractsRejected    = define("contracts_rejected", Counter, "contracts")
+	PlatformCalls        = define("platform_calls", Labelled, "call")
+	PlatformErrors       = define("platform_errors", Labelled, "call")
+	PlatformLastAnswerMs = define("platform_last_answer_ms", Gauge, "ms")
+	ControlSteps         = define("control_steps", Counter, "events")
+	ControlTime          = define("control_time", Counter, "us")
+)
--- /dev/null
+++ b/io/process/dogsettings/settings.go
@@ -0,0 +1,232 @@
+package dogsettings
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+
+	"dogwoodford/core/version/dogini"
+)
+
+// MinPeerKey is the length of the shortest peer key.
+const MinPeerKey = 16
+
+// Settings are the settings of one node, one field per section.
+type Settings struct {
+	Node     Node
+	Listen   Listen
+	Target   Target
+	Platform Platform
+	Peer     Peer
+	Trace    Trace
+	Log      Log
+}
+
+// Node says which node this is.
+type Node struct {
+	Name       string
+	Service    string
+	DataCentre string
+}
+
+// Listen holds the addresses of the listeners, each an IP address and port.
+type Listen struct {
+	Entry string
+	Exit  string
+	Peer  string
+	Admin string
+}
+
+// Target describes the target beside the node.
+type Target struct {
+	Address     string
+	Slots       int    // Announced when the target's load endpoint names none.
+	Connections int    // Connections that the target accepts.
+	Health      string // Path of the health endpoint.
+	Load        string // Path of the load endpoint.
+}
+
+// Platform says where the object service is.
+type Platform struct {
+	Address string
+}
+
+// Peer holds what nodes need for talking to each other.
+type Peer struct {
+	Key   string
+	Seeds []string // Peer listeners of other nodes; may be empty.
+}
+
+// Exporters of traces.
+const (
+	ExporterNone    = "none"
+	ExporterConsole = "console"
+	ExporterOTLP    = "otlp"
+)
+
+// Trace says where spans go.
+type Trace struct {
+	Exporter string
+	Endpoint string // IP address and port of an OTLP collector over HTTP.
+}
+
+// Formats of log lines.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
+// Log says what is logged, and how.
+type Log struct {
+	Level  slog.Level
+	Format string
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the text of a settings file. file is the name in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	doc := dogini.Parse(file, data)
+	s := Settings{
+		Node:   parseNode(doc.Section("node")),
+		Listen: parseListen(doc.Section("listen")),
+		Target: parseTarget(doc.Section("target")),
+		Peer:   parsePeer(doc.Section("peer")),
+		Trace:  Trace{Exporter: ExporterNone},
+		Log:    Log{Level: slog.LevelInfo, Format: FormatJSON},
+	}
+	s.Platform.Address = address(doc.Section("platform"), "address")
+	if sec, ok := doc.Optional("trace"); ok {
+		s.Trace = parseTrace(sec)
+	}
+	if sec, ok := doc.Optional("log"); ok {
+		s.Log = parseLog(sec)
+	}
+	checkDistinct(doc, s)
+	if err := doc.Err(); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return s, nil
+}
+
+func parseNode(s *dogini.Section) Node {
+	return Node{Name: s.Name("name"), Service: s.Name("service"), DataCentre: s.Name("data_centre")}
+}
+
+func parseListen(s *dogini.Section) Listen {
+	return Listen{
+		Entry: address(s, "entry"),
+		Exit:  address(s, "exit"),
+		Peer:  address(s, "peer"),
+		Admin: address(s, "admin"),
+	}
+}
+
+func parseTarget(s *dogini.Section) Target {
+	t := Target{
+		Address:     address(s, "address"),
+		Slots:       int(s.Int("slots", dogini.Range{Min: 1, Max: 100_000})),
+		Connections: int(s.Int("connections", dogini.Range{Min: 1, Max: 1_000_000})),
+		Health:      path(s, "health", "/health"),
+		Load:        path(s, "load", "/load"),
+	}
+	if t.Connections < t.Slots {
+		s.Report("connections", "%d connections cannot fill %d slots", t.Connections, t.Slots)
+	}
+	return t
+}
+
+func parsePeer(s *dogini.Section) Peer {
+	p := Peer{Key: s.Text("key")}
+	if p.Key != "" && len(p.Key) < MinPeerKey {
+		s.Report("key", "the key has fewer than %d characters", MinPeerKey)
+	}
+	if strings.ContainsFunc(p.Key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		s.Report("key", "the key has characters that cannot stand in a header")
+	}
+	if s.Has("seeds") {
+		p.Seeds = s.List("seeds")
+		for _, seed := range p.Seeds {
+			checkAddress(s, "seeds", seed)
+		}
+	}
+	return p
+}
+
+func parseTrace(s *dogini.Section) Trace {
+	t := Trace{Exporter: s.Choice("exporter", ExporterNone, ExporterConsole, ExporterOTLP)}
+	if t.Exporter == ExporterOTLP || s.Has("endpoint") {
+		t.Endpoint = address(s, "endpoint")
+	}
+	return t
+}
+
+func parseLog(s *dogini.Section) Log {
+	l := Log{Format: s.Choice("format", FormatJSON, FormatText)}
+	levels := map[string]slog.Level{
+		"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+	}
+	l.Level = levels[s.Choice("level", "info", "debug", "warn", "error")]
+	return l
+}
+
+// address reads a key that must be an IP address and port.
+func address(s *dogini.Section, key string) string {
+	v := s.Text(key)
+	checkAddress(s, key, v)
+	return v
+}
+
+func checkAddress(s *dogini.Section, key, v string) {
+	if v == "" {
+		return // Reported as empty or missing.
+	}
+	ap, err := netip.ParseAddrPort(v)
+	if err != nil || ap.Port() == 0 {
+		s.Report(key, "%q is not an IP address and a port, such as 127.0.0.1:7101", v)
+		return
+	}
+	if ap.Addr().IsUnspecified() {
+		s.Report(key, "%q names no single address; other processes must be able to use it", v)
+	}
+}
+
+// path reads an optional key that must be an absolute path.
+func path(s *dogini.Section, key, absent string) string {
+	v := s.TextOr(key, absent)
+	if v != "" && (!strings.HasPrefix(v, "/") || strings.ContainsAny(v, " ?#")) {
+		s.Report(key, "%q is not a path that starts with a slash", v)
+	}
+	return v
+}
+
+// checkDistinct reports addresses that are used for two purposes.
+func checkDistinct(doc *dogini.Document, s Settings) {
+	used := make(map[string]string)
+	for _, a := range []struct{ section, key, value string }{
+		{"listen", "entry", s.Listen.Entry},
+		{"listen", "exit", s.Listen.Exit},
+		{"listen", "peer", s.Listen.Peer},
+		{"listen", "admin", s.Listen.Admin},
+		{"target", "address", s.Target.Address},
+		{"platform", "address", s.Platform.Address},
+	} {
+		if a.value == "" {
+			continue
+		}
+		if other, ok := used[a.value]; ok {
+			doc.Report(a.section, a.key, "%s is already the address of %s", a.value, other)
+			continue
+		}
+		used[a.value] = "[" + a.section + "] " + a.key
+	}
+}
