Add dogfake: stand-ins for platform, target and callers

Cause: tests of nodes and the demo need an object service, targets and a load that show every fault of the requirements on demand.

Ruled out: naming a request to the stand-ins by a query parameter; it would make the content of each request look new to the nodes, so a header (Dogfake-Id) does it. Version counters per object; an object that is deleted and made again would get an old version back, so versions are revisions of the store.

Change: cmd/dogfake with the commands platform, target and load, and their packages with tests.

Conclusion: thin but working; each command was run by hand once.

--- /dev/null
+++ b/cmd/dogfake/internal/fakeplatform/server.go
@@ -0,0 +1,270 @@
+package fakeplatform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// maxValue is the size of the largest value.
+	maxValue = 1 << 20
+	// maxWait is the time after which a watch without changes is answered.
+	maxWait = 30 * time.Second
+)
+
+// Fault is a fault on demand. Count bounds the calls that it meets; 0 means
+// until the next fault is set.
+type Fault struct {
+	// Kind is none, down (connections break before anything is done), slow
+	// (each call waits MS first) or lose_answer (writes take effect and the
+	// connection breaks instead of the answer).
+	Kind  string `json:"kind"`
+	MS    int64  `json:"ms"`
+	Count int    `json:"count"`
+}
+
+// Server serves a store over HTTP. It is safe for concurrent use.
+type Server struct {
+	store *Store
+	mux   *http.ServeMux
+
+	mu     sync.Mutex
+	counts map[string]int64
+	fault  Fault
+	down   chan struct{} // Closed while the fault is down.
+}
+
+// NewServer returns a server for the store.
+func NewServer(store *Store) *Server {
+	s := &Server{store: store, mux: http.NewServeMux(), counts: make(map[string]int64), down: make(chan struct{})}
+	s.mux.HandleFunc("GET /v1/objects/{name...}", s.counted("get", s.get))
+	s.mux.HandleFunc("PUT /v1/objects/{name...}", s.counted("put", s.put))
+	s.mux.HandleFunc("DELETE /v1/objects/{name...}", s.counted("delete", s.remove))
+	s.mux.HandleFunc("GET /v1/objects", s.counted("list", s.list))
+	s.mux.HandleFunc("GET /v1/watch", s.counted("watch", s.watch))
+	s.mux.HandleFunc("GET /control/counts", s.getCounts)
+	s.mux.HandleFunc("DELETE /control/counts", s.resetCounts)
+	s.mux.HandleFunc("POST /control/fault", s.setFault)
+	s.mux.HandleFunc("POST /control/snapshot", s.snapshot)
+	s.mux.HandleFunc("POST /control/restore", s.restore)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// counted counts a call and applies the present fault to it.
+func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault := s.admit(kind)
+		switch fault.Kind {
+		case "down":
+			panic(http.ErrAbortHandler)
+		case "slow":
+			select {
+			case <-time.After(time.Duration(fault.MS) * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		case "lose_answer":
+			h(discard{header: make(http.Header)}, r)
+			panic(http.ErrAbortHandler)
+		}
+		h(w, r)
+	}
+}
+
+// admit counts the call and returns the fault that it meets.
+func (s *Server) admit(kind string) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[kind]++
+	s.counts["total"]++
+	f := s.fault
+	if f.Kind == "lose_answer" && kind != "put" && kind != "delete" {
+		return Fault{}
+	}
+	if f.Kind != "" && f.Count > 0 {
+		s.fault.Count--
+		if s.fault.Count == 0 {
+			s.replaceFault(Fault{})
+		}
+	}
+	return f
+}
+
+// replaceFault sets the fault; waiting watches break when it is down. The
+// caller holds mu.
+func (s *Server) replaceFault(f Fault) {
+	if s.fault.Kind == "down" {
+		s.down = make(chan struct{})
+	}
+	s.fault = f
+	if f.Kind == "down" {
+		close(s.down)
+	}
+}
+
+// discard is a ResponseWriter without a reader.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	o := s.store.Get(r.PathValue("name"))
+	if o.Version == 0 {
+		fail(w, http.StatusNotFound, "no such object")
+		return
+	}
+	answer(w, http.StatusOK, o)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected int64  `json:"expected"`
+		Value    []byte `json:"value"`
+	}
+	// Base64 takes four bytes for three; the rest is room for the envelope.
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValue*4/3+4096)).Decode(&body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge) || len(body.Value) > maxValue:
+		fail(w, http.StatusRequestEntityTooLarge, "the value is larger than 1 MB")
+		return
+	case err != nil:
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	case r.PathValue("name") == "":
+		fail(w, http.StatusBadRequest, "the name is empty")
+		return
+	}
+	version, ok := s.store.Put(r.PathValue("name"), body.Expected, body.Value)
+	writeVersion(w, version, ok)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseInt(r.FormValue("expected"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "expected is not a number")
+		return
+	}
+	version, ok := s.store.Delete(r.PathValue("name"), expected)
+	if !ok && version == 0 {
+		fail(w, http.StatusNotFound, "no such object")
+		return
+	}
+	writeVersion(w, version, ok)
+}
+
+func writeVersion(w http.ResponseWriter, version int64, ok bool) {
+	status := http.StatusOK
+	if !ok {
+		status = http.StatusConflict
+	}
+	answer(w, status, map[string]int64{"version": version})
+}
+
+type listAnswer struct {
+	Objects  []Object `json:"objects"`
+	Revision int64    `json:"revision"`
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	objects, revision := s.store.List(r.FormValue("prefix"))
+	answer(w, http.StatusOK, listAnswer{Objects: objects, Revision: revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	if err != nil || after < 0 {
+		fail(w, http.StatusBadRequest, "after is not a revision")
+		return
+	}
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	ctx, cancel := contextUntil(r.Context(), down)
+	defer cancel()
+	objects, revision := s.store.Watch(ctx, r.FormValue("prefix"), after, maxWait)
+	if ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, listAnswer{Objects: objects, Revision: revision})
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer(w, http.StatusOK, s.counts)
+}
+
+func (s *Server) resetCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.counts)
+	answer(w, http.StatusOK, s.counts)
+}
+
+func (s *Server) setFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	switch f.Kind {
+	case "none":
+		f = Fault{}
+	case "down", "slow", "lose_answer":
+	default:
+		fail(w, http.StatusBadRequest, fmt.Sprintf("unknown kind of fault %q", f.Kind))
+		return
+	}
+	s.mu.Lock()
+	s.replaceFault(f)
+	s.mu.Unlock()
+	answer(w, http.StatusOK, f)
+}
+
+func (s *Server) snapshot(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Name string }
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.store.Snapshot(body.Name)
+	answer(w, http.StatusOK, body)
+}
+
+func (s *Server) restore(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Name   string
+		Rewind bool
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := s.store.Restore(body.Name, body.Rewind); err != nil {
+		fail(w, http.StatusNotFound, err.Error())
+		return
+	}
+	answer(w, http.StatusOK, body)
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error means that the reader went away.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func fail(w http.ResponseWriter, status int, text string) {
+	answer(w, status, map[string]string{"error": text})
+}
--- /dev/null
+++ b/cmd/dogfake/main.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodford/cmd/dogfake/internal/fakeplatform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cmd := &cli.Command{
+		Name:     "dogfake",
+		Usage:    "stand-ins for tests and the demo",
+		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand()},
+	}
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dogfake:", err)
+		os.Exit(1)
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Required: true, Usage: "IP address and port to listen on"}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "object service of the platform",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			srv := newServer(fakeplatform.NewServer(fakeplatform.NewStore()))
+			return serve(ctx, srv, cmd.String("listen"), func(context.Context) {})
+		},
+	}
+}
+
+// newServer returns a server for HTTP/1.1 and cleartext HTTP/2.
+func newServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: 10 * time.Second}
+}
+
+// stopTimeout bounds the end of a stand-in after a signal.
+const stopTimeout = 30 * time.Second
+
+// serve listens until ctx ends, then calls drain and closes the server.
+func serve(ctx context.Context, srv *http.Server, address string, drain func(context.Context)) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	fmt.Fprintln(os.Stderr, "dogfake: listening on", ln.Addr())
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	select {
+	case err := <-done:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	drain(stopCtx)
+	// Waiting watches would hold Shutdown up for half a minute.
+	short, cancelShort := context.WithTimeout(stopCtx, time.Second)
+	defer cancelShort()
+	if err := srv.Shutdown(short); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	return srv.Close()
+}
--- /dev/null
+++ b/cmd/dogfake/target.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodford/cmd/dogfake/internal/faketarget"
+)
+
+// crashStatus is the exit status of a target that was told to crash.
+const crashStatus = 42
+
+func targetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "one worker of a service",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "service", Required: true, Usage: "name of the service"},
+			&cli.IntFlag{Name: "slots", Value: 45, Usage: "requests that run at once"},
+			&cli.DurationFlag{Name: "time", Value: 20 * time.Millisecond, Usage: "service time"},
+			&cli.DurationFlag{Name: "jitter", Usage: "variation of the service time each way"},
+			&cli.DurationFlag{Name: "cold-start", Usage: "time of slow service after the start"},
+			&cli.DurationFlag{Name: "drain-grace", Value: 500 * time.Millisecond,
+				Usage: "time for which a signalled target goes on serving, so that its node sees the drain"},
+			&cli.StringFlag{Name: "exit", Usage: "address of the node's exit, for child calls"},
+			&cli.StringFlag{Name: "calls", Usage: "child calls: a file, or PREFIX sequence|parallel METHOD PATH ..."},
+			&cli.IntFlag{Name: "retries", Usage: "blind retries of a failed child call"},
+			&cli.StringFlag{Name: "crash-on", Value: "CRASH-TARGET", Usage: "content that crashes the target"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the jitter"},
+		},
+		Action: runTarget,
+	}
+}
+
+func runTarget(ctx context.Context, cmd *cli.Command) error {
+	rules, err := faketarget.LoadRules(cmd.String("calls"))
+	if err != nil {
+		return err
+	}
+	if len(rules) > 0 && cmd.String("exit") == "" {
+		return fmt.Errorf("-calls needs -exit")
+	}
+	if cmd.Int("slots") < 1 {
+		return fmt.Errorf("-slots must be at least 1")
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	t := faketarget.New(faketarget.Config{
+		Service:   cmd.String("service"),
+		Slots:     cmd.Int("slots"),
+		Time:      cmd.Duration("time"),
+		Jitter:    cmd.Duration("jitter"),
+		ColdStart: cmd.Duration("cold-start"),
+		Exit:      cmd.String("exit"),
+		Rules:     rules,
+		Retries:   cmd.Int("retries"),
+		Marker:    cmd.String("crash-on"),
+		Seed:      cmd.Uint64("seed"),
+		Crash:     func() { os.Exit(crashStatus) },
+		Stop:      stop,
+	})
+	return serve(ctx, newServer(t), cmd.String("listen"), func(ctx context.Context) {
+		t.Drain(ctx, cmd.Duration("drain-grace"))
+	})
+}
