Add a stand-in for a trace collector to dogfake

Cause: the demo and the tests of traces need something that takes spans.

Ruled out: a third-party collector.

Change: dogfake collector takes OTLP over HTTP and prints one trace as a tree.

Conclusion: traces can be shown without other programs.

--- a/cmd/dogfake/main.go
+++ b/cmd/dogfake/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"dogwoodford/cmd/dogfake/internal/fakecollector"
 	"dogwoodford/cmd/dogfake/internal/fakeplatform"
 )
 
@@ -22,7 +23,7 @@
 	cmd := &cli.Command{
 		Name:     "dogfake",
 		Usage:    "stand-ins for tests and the demo",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), collectorCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dogfake:", err)
@@ -46,6 +47,17 @@
 	}
 }
 
+func collectorCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "collector",
+		Usage: "collector of traces that prints one as a tree",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return serve(ctx, newServer(fakecollector.NewServer()), cmd.String("listen"), func(context.Context) {})
+		},
+	}
+}
+
 // newServer returns a server for HTTP/1.1 and cleartext HTTP/2.
 func newServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
