--- a/core/version/dogcontract/parse.go
+++ b/core/version/dogcontract/parse.go
@@ -54,6 +54,9 @@
 // error is a dogini.Problems with every fault.
 func Parse(file string, data []byte) (*Contract, error) {
 	doc := dogini.Parse(file, data)
+	if doc.Broken() {
+		return nil, fmt.Errorf("contract: %w", doc.Err())
+	}
 	c := &Contract{}
 	c.parseHead(doc.Section("contract"))
 	c.parseServices(doc)
@@ -79,6 +82,7 @@
 		if !ok {
 			// The value is not repeated: it may be a secret in plain text.
 			s.Report("credential", "credential %d is not sha256: and 64 hexadecimal digits", i+1)
+			continue
 		}
 		if slices.Contains(c.credentials, sum) {
 			s.Report("credential", "credential %d is repeated", i+1)
@@ -135,6 +139,9 @@
 		for _, m := range class.methods {
 			place := class.service + " " + m + " " + class.path
 			if other, ok := places[place]; ok {
+				if other == class.name {
+					continue // A repeated method, which is reported as such.
+				}
 				s.Report("path", "class %s has the same service, method %s and path", other, m)
 				continue
 			}
@@ -167,13 +174,18 @@
 		s.Report("service", "service %q has no section", class.service)
 	}
 	checkMethods(s, class)
-	if class.path != "" && (!canonical(class.path) || len(class.path) > MaxPath || strings.ContainsAny(class.path, "?# ")) {
+	if class.path != "" && !validPath(class.path) {
 		s.Report("path", "the path must start with a slash, have no empty, \".\" or \"..\" segment, "+
-			"no query, and at most %d bytes", MaxPath)
+			"no query, no space, and at most %d bytes", MaxPath)
 	}
 	return class
 }
 
+func validPath(path string) bool {
+	return len(path) <= MaxPath && canonical(path) &&
+		!strings.ContainsFunc(path, func(r rune) bool { return r <= ' ' || r == '?' || r == '#' || r == 0x7f })
+}
+
 func checkMethods(s *dogini.Section, class Class) {
 	for i, m := range class.methods {
 		switch {
@@ -194,17 +206,18 @@
 	}
 }
 
-// ErrGeneration is returned for a text without exactly one generation line in
-// its contract section.
-var ErrGeneration = eris.New("the text has no single generation")
+// ErrGeneration is returned for a text in which the generation cannot be
+// changed without changing anything else.
+var ErrGeneration = eris.New("the generation cannot be set in this text")
 
 var (
 	sectionLine    = regexp.MustCompile(`^\s*\[\s*([^\]]*?)\s*\]`)
 	generationLine = regexp.MustCompile(`^(\s*generation\s*=\s*)(\d+)(.*)$`)
 )
 
-// SetGeneration returns the text with another generation; comments and all
-// other lines stay as they are. n must be in [1, MaxGeneration].
+// SetGeneration returns the text of a valid contract with another generation;
+// comments and all other lines stay as they are. n must be in
+// [1, MaxGeneration].
 func SetGeneration(data []byte, n int64) ([]byte, error) {
 	if n < 1 || n > MaxGeneration {
 		return nil, fmt.Errorf("set generation %d: %w", n, ErrGeneration)
@@ -224,5 +237,28 @@
 	if found != 1 {
 		return nil, fmt.Errorf("set generation: %d generation lines: %w", found, ErrGeneration)
 	}
-	return []byte(strings.Join(lines, "\n")), nil
+	out := []byte(strings.Join(lines, "\n"))
+	return out, checkGeneration(data, out, n)
+}
+
+// checkGeneration makes sure that after differs from before in the generation
+// only, as the line was found without the INI parser.
+func checkGeneration(before, after []byte, n int64) error {
+	b, err := Parse("before", before)
+	if err != nil {
+		return fmt.Errorf("set generation: %w", err)
+	}
+	a, err := Parse("after", after)
+	if err != nil {
+		return fmt.Errorf("set generation: %w", err)
+	}
+	for _, ch := range Diff(b, a) {
+		if ch.Key != "generation" {
+			return fmt.Errorf("set generation: %s: %w", ch, ErrGeneration)
+		}
+	}
+	if a.generation != n {
+		return fmt.Errorf("set generation: %d instead of %d: %w", a.generation, n, ErrGeneration)
+	}
+	return nil
 }
--- a/core/version/dogini/doc.go
+++ b/core/version/dogini/doc.go
@@ -8,6 +8,9 @@
 // # Usage
 //
 //	doc := dogini.Parse("firm-1.ini", data)
+//	if doc.Broken() {
+//		return doc.Err()
+//	}
 //	sec := doc.Section("contract")
 //	name := sec.Name("customer")
 //	gen := sec.Int("generation", dogini.Range{Min: 1, Max: 1 << 53})
--- a/core/version/dogini/dogini.go
+++ b/core/version/dogini/dogini.go
@@ -17,6 +17,7 @@
 	sections []*Section
 	byName   map[string]*Section
 	problems Problems
+	broken   bool
 }
 
 // Section is one section of a document.
@@ -34,6 +35,7 @@
 	d := &Document{file: file, byName: make(map[string]*Section)}
 	if len(data) > MaxBytes {
 		d.Report("", "", "the file has %d bytes, at most %d are allowed", len(data), MaxBytes)
+		d.broken = true
 		return d
 	}
 	f, err := ini.LoadSources(ini.LoadOptions{
@@ -49,7 +51,8 @@
 		ChildSectionDelimiter: "\x00",
 	}, data)
 	if err != nil {
-		d.Report("", "", "%v", err)
+		d.Report("", "", "%s", strings.TrimSpace(err.Error()))
+		d.broken = true
 		return d
 	}
 	for _, s := range f.Sections() {
@@ -85,6 +88,10 @@
 // File returns the name of the file in messages.
 func (d *Document) File() string { return d.file }
 
+// Broken reports whether the text could not be read at all. Err then holds the
+// syntax error, and there are no sections.
+func (d *Document) Broken() bool { return d.broken }
+
 // Report records a problem.
 func (d *Document) Report(section, key, format string, args ...any) {
 	d.problems = append(d.problems, Problem{File: d.file, Section: section, Key: key, Text: fmt.Sprintf(format, args...)})
@@ -97,10 +104,7 @@
 	if s, ok := d.Optional(name); ok {
 		return s
 	}
-	if len(d.problems) == 0 || d.problems[0].Section != "" || d.problems[0].Key != "" {
-		// After a syntax error, missing sections say nothing new.
-		d.Report(name, "", "the section is missing")
-	}
+	d.Report(name, "", "the section is missing")
 	return &Section{name: name, values: map[string]string{}, used: map[string]bool{}}
 }
 
--- a/io/process/dogsettings/settings.go
+++ b/io/process/dogsettings/settings.go
@@ -96,6 +96,9 @@
 // Parse checks the text of a settings file. file is the name in errors.
 func Parse(file string, data []byte) (Settings, error) {
 	doc := dogini.Parse(file, data)
+	if doc.Broken() {
+		return Settings{}, fmt.Errorf("settings: %w", doc.Err())
+	}
 	s := Settings{
 		Node:   parseNode(doc.Section("node")),
 		Listen: parseListen(doc.Section("listen")),
--- /dev/null
+++ b/io/version/dogfile/dogfile.go
@@ -0,0 +1,82 @@
+package dogfile
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"dogwoodford/core/version/dogcontract"
+	"dogwoodford/core/version/dogini"
+)
+
+// Extension is the extension of contract files.
+const Extension = ".ini"
+
+// ErrName is returned for a file that is not named after its customer.
+var ErrName = eris.New("the file is not named after its customer")
+
+// ErrEmpty is returned for a folder without contract files.
+var ErrEmpty = eris.New("the folder has no contract files")
+
+// File is a contract file and its text.
+type File struct {
+	Path     string
+	Text     []byte
+	Contract *dogcontract.Contract
+}
+
+// Read reads and checks one contract file. The name of the file is not
+// compared with the customer, so that a draft can have any name.
+func Read(path string) (File, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return File{}, fmt.Errorf("contract file: %w", err)
+	}
+	defer f.Close()
+	// One byte more than allowed makes the parser report the size.
+	text, err := io.ReadAll(io.LimitReader(f, dogini.MaxBytes+1))
+	if err != nil {
+		return File{}, fmt.Errorf("contract file: %w", err)
+	}
+	c, err := dogcontract.Parse(path, text)
+	if err != nil {
+		return File{}, fmt.Errorf("contract file: %w", err)
+	}
+	return File{Path: path, Text: text, Contract: c}, nil
+}
+
+// ReadFolder reads and checks the contract files of a folder, by name. Files
+// with other extensions and folders are left out. The error joins the faults
+// of all files.
+func ReadFolder(path string) ([]File, error) {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, fmt.Errorf("contract folder: %w", err)
+	}
+	var files []File
+	var errs []error
+	for _, e := range entries {
+		if e.IsDir() || filepath.Ext(e.Name()) != Extension {
+			continue
+		}
+		f, err := Read(filepath.Join(path, e.Name()))
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if want := strings.TrimSuffix(e.Name(), Extension); f.Contract.Customer() != want {
+			errs = append(errs, fmt.Errorf("%s: customer %s: %w", f.Path, f.Contract.Customer(), ErrName))
+			continue
+		}
+		files = append(files, f)
+	}
+	if len(files) == 0 && len(errs) == 0 {
+		errs = append(errs, fmt.Errorf("%s: %w", path, ErrEmpty))
+	}
+	return files, errors.Join(errs...)
+}
