Add the operators' commands and the pages for operators and callers

Cause: operators change behaviour through contracts only, so they need to check, compare and apply them, and to see that they are in force everywhere.

Change: io/process/dogcli, cmd/dogwoodford with two functions left to connect (dialPlatform, runNode), docs/operators.md, docs/callers.md, docs/glossary.md.

Conclusion: complete against dogwoodford.Platform; not yet run against a client of the real protocol, which the lead connects.

--- a/cmd/dogwoodford/main.go
+++ b/cmd/dogwoodford/main.go
@@ -1,13 +1,24 @@
 // Command dogwoodford is the node and the operators' tool of the overload
-// control layer.
+// control layer. docs/operators.md describes its commands.
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"dogwoodford/io/process/dogcli"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "dogwoodford: no commands yet")
-	os.Exit(2)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := dogcli.Main(ctx, os.Args, dogcli.Options{
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		Platform: dialPlatform,
+		Run:      runNode,
+	})
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/io/process/dogcli/status.go
@@ -0,0 +1,271 @@
+package dogcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"dogwoodford/core/version/dogcontract"
+	"dogwoodford/io/process/dogstatus"
+)
+
+// errNotInForce means that a generation has not reached every node.
+var errNotInForce = eris.New("not in force at every node")
+
+const (
+	// nodeTimeout bounds the reading of one node's status.
+	nodeTimeout = 3 * time.Second
+	// pollPause is the pause between two rounds of --wait.
+	pollPause = 500 * time.Millisecond
+	// readers bounds the nodes that are read at once.
+	readers = 32
+)
+
+func nodeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "node", Usage: "IP `ADDRESS` and port of a node's admin listener; repeatable"},
+		&cli.BoolFlag{Name: "all", Usage: "also ask the members whose admin listeners the nodes know"},
+	}
+}
+
+func (a *app) statusCommand() *cli.Command {
+	return a.command("status", "show the state of nodes", "", 0, 0, nodeFlags(),
+		func(ctx context.Context, cmd *cli.Command) error {
+			if len(cmd.StringSlice("node")) == 0 {
+				return usagef("--node is needed")
+			}
+			nodes := a.readNodes(ctx, cmd.StringSlice("node"), cmd.Bool("all"))
+			if err := a.print(nodes, func(w io.Writer) { writeNodes(w, nodes) }); err != nil {
+				return err
+			}
+			return a.after(unreachable(nodes))
+		})
+}
+
+// nodeView is what one node answered.
+type nodeView struct {
+	Address string            `json:"address"`
+	Error   string            `json:"error,omitempty"`
+	Status  *dogstatus.Status `json:"status,omitempty"`
+}
+
+// readNodes reads the nodes at the addresses and, with all, the members that
+// they name, each once.
+func (a *app) readNodes(ctx context.Context, addresses []string, all bool) []nodeView {
+	views := a.readOnce(ctx, addresses)
+	if !all {
+		return views
+	}
+	known := make(map[string]bool)
+	for _, v := range views {
+		known[v.Address] = true
+	}
+	var more []string
+	for _, v := range views {
+		if v.Status == nil {
+			continue
+		}
+		for _, m := range v.Status.Members {
+			if m.Admin != "" && !known[m.Admin] && m.State != "left" && m.State != "failed" {
+				known[m.Admin] = true
+				more = append(more, m.Admin)
+			}
+		}
+	}
+	return append(views, a.readOnce(ctx, more)...)
+}
+
+func (a *app) readOnce(ctx context.Context, addresses []string) []nodeView {
+	views := make([]nodeView, len(addresses))
+	slots := make(chan struct{}, readers)
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+			defer cancel()
+			views[i].Address = address
+			s, err := dogstatus.Fetch(ctx, a.o.Client, address)
+			if err != nil {
+				views[i].Error = err.Error()
+				return
+			}
+			views[i].Status = &s
+		})
+	}
+	wg.Wait()
+	return views
+}
+
+// unreachable returns an error if a node gave no answer.
+func unreachable(nodes []nodeView) error {
+	var errs []error
+	for _, n := range nodes {
+		if n.Status == nil {
+			errs = append(errs, eris.New(n.Error))
+		}
+	}
+	return withCode(CodeUnavailable, errors.Join(errs...))
+}
+
+func writeNodes(w io.Writer, nodes []nodeView) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "node\tservice\tdata centre\tstate\ttarget\tin flight\tqueued\tlimit\tcutoff\tplatform\tready members\tcontracts\t")
+	for _, n := range nodes {
+		s := n.Status
+		if s == nil {
+			fmt.Fprintf(tw, "%s\t-\t-\tno answer\t\n", n.Address)
+			continue
+		}
+		var contracts []string
+		for _, c := range s.Contracts {
+			contracts = append(contracts, fmt.Sprintf("%s:%d", c.Customer, c.Generation))
+		}
+		ready := 0
+		for _, m := range s.Members {
+			if m.State == "ready" {
+				ready++
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%d of %d\t%s\t\n", s.Node, s.Service, s.DataCentre, s.State,
+			s.Target.State, s.Target.InFlight, s.Target.Queued, s.Target.Limit, s.Target.Cutoff,
+			map[bool]string{true: "ok", false: "no answer"}[s.Platform.Reachable], ready, len(s.Members),
+			strings.Join(contracts, " "))
+	}
+	flush(tw)
+	for _, n := range nodes {
+		if n.Status == nil {
+			continue
+		}
+		for _, p := range n.Status.Problems {
+			fmt.Fprintf(w, "%s: %s\n", n.Status.Node, p)
+		}
+		for _, q := range n.Status.Quarantines {
+			fmt.Fprintf(w, "%s: content %s of service %s is refused until %s\n", n.Status.Node, q.Digest, q.Service,
+				q.Until.Format(time.RFC3339))
+		}
+	}
+}
+
+// inForce is one customer in the result of contract status.
+type inForce struct {
+	Customer   string           `json:"customer"`
+	Generation int64            `json:"generation"` // Held by the platform.
+	Nodes      map[string]int64 `json:"nodes"`      // Generation in force by address; -1 means no answer.
+	InForce    bool             `json:"in_force"`   // At every node that was asked, this one or a later one.
+}
+
+func (a *app) contractStatus(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	if cmd.Bool("wait") && len(cmd.StringSlice("node")) == 0 {
+		return usagef("--wait needs --node")
+	}
+	held, err := a.heldGenerations(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	var out []inForce
+	for {
+		nodes := a.readNodes(ctx, cmd.StringSlice("node"), cmd.Bool("all"))
+		done := true
+		out = nil
+		for _, h := range held {
+			e := compare(h, nodes)
+			out = append(out, e)
+			done = done && e.InForce
+		}
+		if done || !cmd.Bool("wait") || !pause(ctx, pollPause) {
+			break
+		}
+	}
+	if err := a.print(out, func(w io.Writer) { writeInForce(w, out) }); err != nil {
+		return err
+	}
+	var missing []string
+	for _, e := range out {
+		if !e.InForce {
+			missing = append(missing, fmt.Sprintf("%s generation %d", e.Customer, e.Generation))
+		}
+	}
+	if len(missing) > 0 {
+		return a.after(withCode(CodeNotInForce, fmt.Errorf("%w: %s", errNotInForce, strings.Join(missing, ", "))))
+	}
+	return nil
+}
+
+// heldGenerations returns the contracts that the platform holds, of the
+// customers in the arguments or of all.
+func (a *app) heldGenerations(ctx context.Context, cmd *cli.Command) ([]inForce, error) {
+	p, err := a.platform(cmd)
+	if err != nil {
+		return nil, err
+	}
+	objects, err := p.List(ctx, ObjectPrefix)
+	if err != nil {
+		return nil, withCode(CodeUnavailable, fmt.Errorf("list contracts: %w", err))
+	}
+	wanted := cmd.Args().Slice()
+	var out []inForce
+	for _, o := range objects {
+		customer := strings.TrimPrefix(o.Name, ObjectPrefix)
+		if len(wanted) > 0 && !slices.Contains(wanted, customer) {
+			continue
+		}
+		c, err := dogcontract.Parse("platform:"+o.Name, o.Value)
+		if err != nil {
+			return nil, withCode(CodeInvalid, err)
+		}
+		out = append(out, inForce{Customer: customer, Generation: c.Generation()})
+	}
+	for _, customer := range wanted {
+		if !slices.ContainsFunc(out, func(e inForce) bool { return e.Customer == customer }) {
+			return nil, withCode(CodeFailed, fmt.Errorf("the platform holds no contract of %s", customer))
+		}
+	}
+	return out, nil
+}
+
+// compare fills in the generations that the nodes have in force.
+func compare(e inForce, nodes []nodeView) inForce {
+	e.Nodes, e.InForce = make(map[string]int64), true
+	for _, n := range nodes {
+		g := int64(-1)
+		if n.Status != nil {
+			g = n.Status.Generation(e.Customer)
+		}
+		e.Nodes[n.Address] = g
+		e.InForce = e.InForce && g >= e.Generation
+	}
+	return e
+}
+
+func writeInForce(w io.Writer, entries []inForce) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "customer\tplatform\tnodes in force\tnodes behind\tno answer\t")
+	for _, e := range entries {
+		var ok, behind, silent int
+		for _, g := range e.Nodes {
+			switch {
+			case g < 0:
+				silent++
+			case g < e.Generation:
+				behind++
+			default:
+				ok++
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t\n", e.Customer, e.Generation, ok, behind, silent)
+	}
+	flush(tw)
+}
