Add the handlers entry, exit, guard and owner in first form

Cause: the path of a request must stand end to end before its parts are refined.

Ruled out: one handler per HTTP hop only; a node that is entry, owner and guard of one call would send HTTP to itself. The roles return an answer that is passed on, over HTTP or in the process.

--- a/core/request/dogcall/caller.go
+++ b/core/request/dogcall/caller.go
@@ -74,8 +74,9 @@
 
 // Bound returns the specification of a customer request at its entry: the
 // claims can lower the deadline of the class, and raise nothing. ID, Service,
-// Digest and ContentSize are left to the caller of Bound. Root is the key of a
-// non-idempotent request, else empty. An idempotent request has no key.
+// Digest and ContentSize are left to the caller of Bound. Root is the key that
+// the caller names, so that its resends keep their rank; else it is empty. An
+// idempotent request has no key.
 func Bound(c Claims, l Limits, now time.Time) dogwoodford.RequestSpec {
 	d := l.Deadline
 	if c.Deadline > 0 {
@@ -90,10 +91,10 @@
 		Retries:     l.Retries,
 		Attempt:     max(1, c.Attempt),
 		ContentSize: -1,
+		Root:        c.Key.String(),
 	}
 	if !l.Idempotent {
 		spec.Key = c.Key
-		spec.Root = c.Key.String()
 	}
 	return spec
 }
--- a/core/request/dogretry/doc.go
+++ b/core/request/dogretry/doc.go
@@ -11,7 +11,7 @@
 //
 //	l := dogretry.NewLedger(2)
 //	s := l.Child()             // Half of what remains, rounded up.
-//	s.Dispatched()             // Before the child call is sent.
+//	ok := s.Dispatched()       // Before the child call is sent, if ok.
 //	s.Settle(used)             // With the count from the answer, or s.Lost().
 //	used := l.Close()          // When the headers of the answer are sent.
 //
--- a/core/request/dogretry/ledger.go
+++ b/core/request/dogretry/ledger.go
@@ -9,6 +9,7 @@
 	budget     int
 	remains    int
 	closed     bool
+	sealed     bool // No child call may be dispatched any more.
 	dispatched bool
 }
 
@@ -71,11 +72,14 @@
 	return l.budget - l.remains
 }
 
-// Dispatched reports whether a child call was dispatched.
-func (l *Ledger) Dispatched() bool {
+// Seal forbids child calls if none was dispatched, and reports whether that is
+// so. Without it a child call could be dispatched just after its request was
+// found not run.
+func (l *Ledger) Seal() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.dispatched
+	l.sealed = l.sealed || !l.dispatched
+	return l.sealed
 }
 
 // take needs l.mu.
@@ -87,11 +91,16 @@
 	return &Share{ledger: l, units: n}
 }
 
-// Dispatched records that the child call of the share is about to be sent.
-func (s *Share) Dispatched() {
+// Dispatched records that the child call of the share is about to be sent. It
+// reports false if the call must not be sent, as Seal came first.
+func (s *Share) Dispatched() bool {
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
+	if s.ledger.sealed {
+		return false
+	}
 	s.ledger.dispatched = true
+	return true
 }
 
 // Settle returns the units that were not used. A count outside [0, Units] is
--- /dev/null
+++ b/io/request/doghttp/exit.go
@@ -0,0 +1,84 @@
+package doghttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/request/dogretry"
+)
+
+func (h *Handlers) exit(x *exchange) *answer {
+	claims, err := dogcall.ParseClaims(x.r.Header)
+	if err != nil {
+		return badRequest(err)
+	}
+	p := h.lookup(claims.Token)
+	if p == nil {
+		h.cfg.Events.Event(x.ctx, EventUnknownToken, claims.Token, nil)
+		return h.admitCaller(x, claims, false)
+	}
+	service, u, err := splitPath(x.r.URL)
+	if err != nil {
+		return badRequest(err)
+	}
+	x.service, x.class = service, p.req.Class()
+	snap := h.cfg.Control.Snapshot()
+	limits := childLimits(snap, p.req.Customer(), service, x.r.Method, u.Path)
+
+	// A target that calls again counts as one further attempt.
+	if claims.Attempt > 1 && !p.ledger.Retry() {
+		return notRun(dogwoodford.ReasonRetries)
+	}
+	share := p.ledger.Child()
+	ledger := dogretry.NewLedger(share.Units())
+	settle := func() { share.Settle(ledger.Close()) }
+	defer settle() // The count is final when the headers of the answer are here.
+
+	now := time.Now()
+	c := newCall(x, u)
+	if c.traceparent == "" {
+		c.traceparent = p.traceparent
+	}
+	c.fresh = claims.Attempt == 1
+	key := claims.Key
+	if key.IsZero() || key.String() == p.req.Root() {
+		// A target that repeats the key of its own request does not mean the
+		// child call, as two child calls would then be one.
+		key, c.fresh = mint(snap, service, now), true
+	}
+	c.spec, err = dogcall.Child(p.req, dogcall.ChildSpec{
+		Service: service, Idempotent: limits.Idempotent, Retries: share.Units(),
+		Claimed: claims.Deadline, Key: key,
+	}, now)
+	if err != nil {
+		return badRequest(err)
+	}
+	// The end of the parent request ends its child calls.
+	ctx, cancel := context.WithCancel(x.ctx)
+	stop := context.AfterFunc(p.ctx, cancel)
+	x.ctx = ctx
+	a := h.start(x, snap, c, limits.MaxBody, ledger, func() *answer {
+		if !share.Dispatched() {
+			return notRun(dogwoodford.ReasonCancelled)
+		}
+		return nil
+	})
+	a.onEnd(func(ending) { stop(); cancel() })
+	return a
+}
+
+// childLimits returns what a child call takes from its own class.
+func childLimits(snap Snapshot, customer, service, method, path string) dogcall.Limits {
+	if contract, ok := snap.Contract(customer); ok {
+		if l, ok := contract.Class(service, method, path); ok {
+			return l
+		}
+	}
+	return dogcall.Limits{
+		Idempotent: method == http.MethodGet || method == http.MethodHead,
+		MaxBody:    -1,
+	}
+}
--- /dev/null
+++ b/io/request/doghttp/guard.go
@@ -0,0 +1,165 @@
+package doghttp
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/connection/dogoutcome"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/request/dogretry"
+)
+
+// peer takes a call of another node.
+func (h *Handlers) peer(x *exchange) *answer {
+	key := x.r.Header.Get(dogcall.HeaderPeerKey)
+	if subtle.ConstantTimeCompare([]byte(key), []byte(h.cfg.PeerKey)) != 1 {
+		h.cfg.Events.Event(x.ctx, EventBadPeer, "", nil)
+		return notRun(dogwoodford.ReasonCredential)
+	}
+	p, err := dogcall.ParsePeer(x.r.Header, x.start)
+	if err != nil {
+		h.cfg.Events.Event(x.ctx, EventBadPeer, "", err)
+		return badRequest(err)
+	}
+	service, u, err := splitPath(x.r.URL)
+	if err != nil {
+		return badRequest(err)
+	}
+	x.service, x.class = service, p.Spec.Class
+	if service != h.cfg.Service {
+		// The sender has an old view of who listens at this address.
+		return notRun(dogwoodford.ReasonNoTarget)
+	}
+	c := newCall(x, u)
+	c.spec = p.Spec
+	c.spec.Service = service
+	c.spec.ContentSize = x.body.length
+	c.epoch = p.Epoch
+	c.fresh = true // The owner decides for keys; the guard runs none twice.
+	x.span.Call(dogwoodford.NewRequest(c.spec))
+	ctx, cancel := context.WithDeadline(x.ctx, c.spec.Deadline)
+	var a *answer
+	if x.role == RoleOwner {
+		a = h.ownerOf(ctx, x, c)
+	} else {
+		a = h.guard(ctx, c)
+	}
+	a.onEnd(func(ending) { cancel() })
+	return a
+}
+
+// ownerOf runs owner for a call of another node, whose body must be read for a
+// further attempt.
+func (h *Handlers) ownerOf(ctx context.Context, x *exchange, c *call) *answer {
+	if err := c.body.fill(nil); err != nil {
+		return h.unread(x, c, err)
+	}
+	c.spec.ContentSize = c.body.length
+	return h.owner(ctx, h.cfg.Control.Snapshot(), c)
+}
+
+// guard queues a call and sends it to the own target. All its answers carry
+// the report of the guard and the retries used.
+func (h *Handlers) guard(ctx context.Context, c *call) *answer {
+	a := h.guarded(ctx, c)
+	a.info.Report = &dogcall.Report{Load: h.cfg.Gate.Load(), Called: h.cfg.Pressure.Called(time.Now())}
+	return a
+}
+
+func (h *Handlers) guarded(ctx context.Context, c *call) *answer {
+	snap := h.cfg.Control.Snapshot()
+	now := time.Now()
+	spec := c.spec
+	if snap.Draining() {
+		return notRun(dogwoodford.ReasonDraining)
+	}
+	if left, bad := snap.Quarantined(spec.Digest); bad && spec.Digest != 0 {
+		return refusal(dogwoodford.NotRun, dogwoodford.ReasonQuarantined, left)
+	}
+	if !spec.Key.IsZero() && now.Sub(spec.Key.Issued()) > keyAge {
+		return refusal(dogwoodford.Unknown, dogwoodford.ReasonKeyAge, 0)
+	}
+	if !h.cfg.Suspects.Enter(now, spec.Digest) {
+		return notRun(dogwoodford.ReasonIsolated)
+	}
+	returned := false
+	defer func() {
+		if !returned { // A panic must not keep other suspects out.
+			h.cfg.Suspects.Leave(time.Now(), spec.Digest)
+		}
+	}()
+	spec.ID = newToken()
+	a := h.queue(ctx, c, dogwoodford.NewRequest(spec))
+	returned = true
+	c.x.track(a)
+	a.onEnd(func(ending) { h.cfg.Suspects.Leave(time.Now(), spec.Digest) })
+	return a
+}
+
+// queue waits for admission and runs the call.
+func (h *Handlers) queue(ctx context.Context, c *call, r dogwoodford.Request) *answer {
+	v := h.cfg.Gate.enter(ctx, r)
+	if v.Action() != dogwoodford.Run {
+		return refusal(dogwoodford.NotRun, v.Reason(), v.RetryAfter())
+	}
+	start := time.Now()
+	if !r.Key().IsZero() && !h.given.give(start, r.Key()) {
+		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{Cancelled: true})
+		h.cfg.Events.Event(ctx, EventDuplicate, r.Root(), nil)
+		return refusal(dogwoodford.Unknown, dogwoodford.ReasonDuplicate, 0)
+	}
+	p := &progress{ctx: ctx, req: r, ledger: dogretry.NewLedger(r.Retries()), traceparent: c.traceparent}
+	h.register(r.ID(), p)
+	returned := false
+	defer func() {
+		if !returned { // A panic must not keep the slot.
+			h.unregister(r.ID())
+			h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{Latency: time.Since(start), Failed: true})
+		}
+	}()
+	a := h.toTarget(ctx, c, p)
+	returned = true
+	c.x.track(a)
+	if a.info.Outcome == dogwoodford.NotRun && !r.Key().IsZero() {
+		h.given.forget(r.Key())
+	}
+	a.onEnd(func(e ending) {
+		h.unregister(r.ID())
+		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{
+			Latency:   time.Since(start),
+			Failed:    e == truncated || a.status >= 500,
+			Cancelled: e == aborted || ctx.Err() == context.Canceled,
+		})
+	})
+	return a
+}
+
+// toTarget sends the call to the own target and classifies what comes back.
+func (h *Handlers) toTarget(ctx context.Context, c *call, p *progress) *answer {
+	out, err := c.request(ctx, h.cfg.TargetAddress, "")
+	if err != nil {
+		return notRun(dogwoodford.ReasonRetries)
+	}
+	dogcall.FormatTarget(out.Header, p.req.Spec(), p.req.ID(), c.traceparent, time.Now())
+	resp, stage, err := h.cfg.Target.Do(out)
+	if err != nil {
+		a := failed(ctx, c, stage)
+		a.info.RetriesUsed = p.ledger.Close()
+		return a
+	}
+	claim := resp.Header.Get(dogcall.HeaderOutcome)
+	facts := dogoutcome.Facts{Stage: stage, Status: resp.StatusCode, Claim: claim}
+	if resp.StatusCode == http.StatusServiceUnavailable && claim == dogwoodford.NotRun.String() {
+		facts.Child = !p.ledger.Seal()
+	}
+	info := dogcall.Answer{Outcome: dogoutcome.Classify(facts), RetriesUsed: p.ledger.Close()}
+	if info.Outcome == dogwoodford.NotRun {
+		info.Reason = dogwoodford.ReasonOverload
+	}
+	a := h.received(ctx, c, resp, info)
+	a.info.RetriesUsed = info.RetriesUsed
+	return a
+}
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -1,9 +1,16 @@
 package doghttp
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net/http"
+	"sync"
+	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/request/dogretry"
 )
 
 // Config is what the handlers work with. All fields are required unless the
@@ -30,39 +37,181 @@
 
 // Handlers are the handlers of one node. They share the requests in progress,
 // so that the exit finds the request that a child call belongs to.
-type Handlers struct{ cfg Config }
+type Handlers struct {
+	cfg     Config
+	resends *dogretry.Resends
+	given   givenKeys
+
+	mu       sync.Mutex
+	progress map[string]*progress // By token.
+}
+
+// progress is a request in progress at the own target.
+type progress struct {
+	ctx         context.Context
+	req         dogwoodford.Request
+	ledger      *dogretry.Ledger
+	traceparent string
+}
 
 // New returns the handlers. It panics if a required field is not set.
-func New(cfg Config) *Handlers { return &Handlers{cfg: cfg} }
+func New(cfg Config) *Handlers {
+	if cfg.Name == "" || cfg.Service == "" || cfg.TargetAddress == "" || cfg.PeerKey == "" {
+		panic("doghttp: name, service, target address and peer key are required")
+	}
+	if cfg.Control == nil || cfg.Gate == nil || cfg.Router == nil || cfg.Pressure == nil ||
+		cfg.Records == nil || cfg.Peers == nil || cfg.Target == nil {
+		panic("doghttp: a required part is nil")
+	}
+	withoutOptional(&cfg)
+	return &Handlers{cfg: cfg, resends: dogretry.NewResends(), progress: make(map[string]*progress)}
+}
 
 // Entry returns the handler for callers.
-func (h *Handlers) Entry() http.Handler { return nil }
+func (h *Handlers) Entry() http.Handler {
+	return h.handler(func(*http.Request) Role { return RoleEntry }, h.entry)
+}
 
 // Exit returns the handler for child calls of the own target.
-func (h *Handlers) Exit() http.Handler { return nil }
+func (h *Handlers) Exit() http.Handler {
+	return h.handler(func(*http.Request) Role { return RoleExit }, h.exit)
+}
 
 // Peer returns the handler for calls of other nodes: owner and guard. Mount
 // the messages between nodes beside it.
-func (h *Handlers) Peer() http.Handler { return nil }
+func (h *Handlers) Peer() http.Handler {
+	return h.handler(func(r *http.Request) Role {
+		if r.Header.Get(dogcall.HeaderKey) != "" && r.Header.Get(dogcall.HeaderEpoch) == "" {
+			return RoleOwner
+		}
+		return RoleGuard
+	}, h.peer)
+}
 
 // InProgress returns the digests of the requests in progress at the target,
 // for the report of suspects when the target dies.
-func (h *Handlers) InProgress() []uint64 { return nil }
+func (h *Handlers) InProgress() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]uint64, 0, len(h.progress))
+	for _, p := range h.progress {
+		if d := p.req.Digest(); d != 0 {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (h *Handlers) register(token string, p *progress) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.progress[token] = p
+}
+
+func (h *Handlers) unregister(token string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.progress, token)
+}
+
+func (h *Handlers) lookup(token string) *progress {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.progress[token]
+}
+
+// exchange is one request at a handler.
+type exchange struct {
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	rc    *http.ResponseController
+	role  Role
+	start time.Time
+	span  Span
+	body  *body
+	sent  bool // Headers of the answer were sent.
+	// answers are finished if the request panics, so that nothing that it holds
+	// is kept from other requests.
+	answers []*answer
+	// traceparent is what hops below send on.
+	traceparent string
+	service     string
+	class       string
+}
+
+func (x *exchange) track(a *answer) { x.answers = append(x.answers, a) }
+
+func (h *Handlers) handler(role func(*http.Request) Role, serve func(*exchange) *answer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, rc: http.NewResponseController(w), role: role(r), start: time.Now()}
+		x.ctx, x.traceparent, x.span = h.cfg.Tracer.Start(r.Context(), x.role, firstTraceparent(r.Header))
+		x.body = newBody(r, x.rc)
+		defer h.recover(x)
+		defer x.body.stop()
+		// Without it, HTTP/1.1 ends the request body when the answer starts.
+		// Other protocols do not need it and say that it is not supported.
+		if err := x.rc.EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			h.cfg.Events.Event(x.ctx, EventPanic, "", fmt.Errorf("full duplex: %w", err))
+		}
+		h.relay(x, serve(x))
+	})
+}
 
-// Gate is an Admission with the lock around it and the requests that wait.
-type Gate struct{}
+// recover ends the request that panicked, and no other.
+func (h *Handlers) recover(x *exchange) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	for _, a := range x.answers {
+		a.finish(aborted)
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	h.cfg.Events.Event(x.ctx, EventPanic, "", fmt.Errorf("panic: %v", v))
+	if x.sent {
+		panic(http.ErrAbortHandler)
+	}
+	// How far the request came is not known here.
+	h.relay(x, refusal(dogwoodford.Unknown, dogwoodford.ReasonInternal, 0))
+}
 
-// NewGate returns a gate around adm, which must not be used elsewhere.
-func NewGate(adm dogwoodford.Admission) *Gate { _ = adm; return &Gate{} }
+func firstTraceparent(h http.Header) string {
+	if v := h[dogcall.HeaderTraceparent]; len(v) == 1 && dogcall.ValidTraceparent(v[0]) {
+		return v[0]
+	}
+	return ""
+}
 
-// SetSlots tells how many requests the target says that it can run at once.
-func (g *Gate) SetSlots(n int) { _ = n }
+func withoutOptional(cfg *Config) {
+	if cfg.Suspects == nil {
+		cfg.Suspects = nothing{}
+	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = nothing{}
+	}
+	if cfg.Events == nil {
+		cfg.Events = nothing{}
+	}
+	if cfg.Counters == nil {
+		cfg.Counters = nothing{}
+	}
+}
 
-// Load returns the present load.
-func (g *Gate) Load() dogwoodford.Load { return dogwoodford.Load{} }
+// nothing stands for the optional parts that are not set.
+type nothing struct{}
 
-// Balancer is a Router with the lock around it.
-type Balancer struct{}
+func (nothing) Enter(time.Time, uint64) bool { return true }
+func (nothing) Leave(time.Time, uint64)      {}
 
-// NewBalancer returns a balancer around r, which must not be used elsewhere.
-func NewBalancer(r dogwoodford.Router) *Balancer { _ = r; return &Balancer{} }
+func (nothing) Start(ctx context.Context, _ Role, traceparent string) (context.Context, string, Span) {
+	return ctx, traceparent, nothing{}
+}
+func (nothing) Call(dogwoodford.Request)                         {}
+func (nothing) End(dogwoodford.Outcome, dogwoodford.Reason, int) {}
+func (nothing) Event(context.Context, Event, string, error)      {}
+func (nothing) Attempted(Role, string, int)                      {}
+func (nothing) Answered(Role, string, string, dogwoodford.Outcome, dogwoodford.Reason, time.Duration) {
+}
--- /dev/null
+++ b/io/request/doghttp/owner.go
@@ -0,0 +1,109 @@
+package doghttp
+
+import (
+	"context"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/request/dogretry"
+)
+
+// toOwner sends a non-idempotent call to the owner of its key range, with all
+// that is left in the ledger.
+func (h *Handlers) toOwner(ctx context.Context, snap Snapshot, c *call, ledger *dogretry.Ledger) *answer {
+	share := ledger.Attempt(true)
+	sub := *c
+	sub.spec.Retries = share.Units()
+	a := h.fromOwner(ctx, snap, &sub)
+	share.Settle(a.info.RetriesUsed)
+	return a
+}
+
+func (h *Handlers) fromOwner(ctx context.Context, snap Snapshot, c *call) *answer {
+	o, ok := snap.Owner(c.spec.Service, c.spec.Key)
+	if !ok {
+		return c.refuse(dogwoodford.ReasonRange, time.Second)
+	}
+	if o.Node == h.cfg.Name {
+		return h.owner(ctx, snap, c)
+	}
+	a := h.send(ctx, c, o.Peer)
+	if a.resp == nil && a.info.Outcome == dogwoodford.NotRun {
+		// This attempt was never written. An earlier one may have run.
+		reason := a.info.Reason
+		if reason == dogwoodford.ReasonNoTarget {
+			reason = dogwoodford.ReasonRange
+		}
+		return c.refuse(reason, time.Second)
+	}
+	return a
+}
+
+// owner runs a call at most once.
+func (h *Handlers) owner(ctx context.Context, snap Snapshot, c *call) *answer {
+	key, service := c.spec.Key, c.spec.Service
+	b := h.cfg.Records.Begin(time.Now(), service, key)
+	if b.Seen && c.spec.Attempt == 1 && !h.seenAllowed(snap, c.spec.Customer) {
+		if b.Run {
+			h.cfg.Records.Finish(time.Now(), service, key, dogwoodford.NotRun, nil)
+			return notRun(dogwoodford.ReasonRetries)
+		}
+		return refusal(b.Outcome, dogwoodford.ReasonRetries, time.Second)
+	}
+	if !b.Run {
+		if b.Answer != nil {
+			a := refusal(b.Outcome, dogwoodford.ReasonNone, 0)
+			a.status, a.header, a.kept = b.Answer.Status, b.Answer.Header, b.Answer
+			return a
+		}
+		return refusal(b.Outcome, b.Reason, 0)
+	}
+	returned := false
+	defer func() {
+		if !returned { // A panic; how far the call came is not known.
+			h.cfg.Records.Finish(time.Now(), service, key, dogwoodford.Unknown, nil)
+		}
+	}()
+	sub := *c
+	// Begin said that the key has not run and is not running.
+	sub.epoch, sub.role, sub.fresh = b.Epoch, RoleOwner, true
+	ledger := dogretry.NewLedger(c.spec.Retries)
+	a := h.attempts(ctx, snap, &sub, ledger, h.cfg.Name)
+	a.info.RetriesUsed = ledger.Close()
+	returned = true
+	c.x.track(a)
+	kept := keep(a)
+	a.onEnd(func(e ending) {
+		o := a.info.Outcome
+		if e == truncated {
+			o = dogwoodford.Unknown
+		}
+		if e != whole || o != dogwoodford.Ran || len(kept.Body) > KeptBytes {
+			kept = nil
+		}
+		h.cfg.Records.Finish(time.Now(), service, key, o, kept)
+	})
+	return a
+}
+
+// seenAllowed takes a resend for a key that was seen before, although the
+// caller calls it the first attempt.
+func (h *Handlers) seenAllowed(snap Snapshot, customer string) bool {
+	contract, ok := snap.Contract(customer)
+	if !ok {
+		return true
+	}
+	_, burst := contract.Resend()
+	return h.resends.Resend(customer, burst)
+}
+
+// keep collects the answer while it is passed on, up to one byte more than may
+// be kept.
+func keep(a *answer) *Kept {
+	k := &Kept{Status: a.status, Header: a.header.Clone()}
+	a.copyTo = func(p []byte) {
+		p = p[:min(len(p), KeptBytes+1-len(k.Body))]
+		k.Body = append(k.Body, p...)
+	}
+	return k
+}
