--- a/core/request/dogretry/ledger.go
+++ b/core/request/dogretry/ledger.go
@@ -72,6 +72,13 @@
 	return l.budget - l.remains
 }
 
+// Dispatched reports whether a child call was dispatched.
+func (l *Ledger) Dispatched() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dispatched
+}
+
 // Seal forbids child calls if none was dispatched, and reports whether that is
 // so. Without it a child call could be dispatched just after its request was
 // found not run.
