Test the handlers under connection faults

Cause: the handlers had no tests for late, truncated, reset and duplicated answers, for reused connections that break, and for callers that leave.

Ruled out: a scripted net.Conn below the transport; a raw TCP target shows the faults as the operating system reports them.

--- /dev/null
+++ b/io/request/doghttp/doghttp_test.go
@@ -0,0 +1,267 @@
+package doghttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/request/dogcall"
+)
+
+// serveTarget starts a mesh whose targets are h.
+func serveTarget(t *testing.T, h http.HandlerFunc) *mesh {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return newMesh(t, strings.TrimPrefix(s.URL, "http://"))
+}
+
+func do(t *testing.T, r *http.Request) string {
+	t.Helper()
+	return describe(http.DefaultTransport.RoundTrip(r))
+}
+
+// Guards against bodies that are held back until they are complete, and
+// against bodies that come out changed.
+func TestBodiesStreamBothWays(t *testing.T) {
+	m := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).EnableFullDuplex()
+		buf := make([]byte, 1000)
+		for {
+			n, err := r.Body.Read(buf)
+			w.Write(buf[:n])
+			http.NewResponseController(w).Flush()
+			if err != nil {
+				return
+			}
+		}
+	})
+	pr, pw := io.Pipe()
+	first := bytes.Repeat([]byte("a"), 64<<10)
+	go pw.Write(first)
+	resp, err := http.DefaultTransport.RoundTrip(newRequest(t, "POST", m.entry+"/rounds/photos", pr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got := make([]byte, len(first))
+	if _, err := io.ReadFull(resp.Body, got); err != nil || !bytes.Equal(got, first) {
+		t.Fatalf("first part: error %v", err)
+	}
+	// The next part is written only now that the first has come back.
+	for i := range 40 {
+		part := bytes.Repeat([]byte{byte('b' + i%20)}, 10_000)
+		go pw.Write(part)
+		got = make([]byte, len(part))
+		if _, err := io.ReadFull(resp.Body, got); err != nil || !bytes.Equal(got, part) {
+			t.Fatalf("part %d: error %v", i, err)
+		}
+	}
+	pw.Close()
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) > 0 {
+		t.Errorf("%d bytes too many, error %v", len(rest), err)
+	}
+}
+
+// Guards against a request body that is cut short and reaches the target as
+// whole, and against a body beyond the bound of its class.
+func TestBrokenUploads(t *testing.T) {
+	var whole atomic.Int32
+	ended := make(chan error, 1)
+	m := serveTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		if err == nil {
+			whole.Add(1)
+		}
+		ended <- err
+	})
+	pr, pw := io.Pipe()
+	go func() {
+		pw.Write(make([]byte, 100<<10))
+		pw.CloseWithError(errors.New("caller fails"))
+	}()
+	if _, err := http.DefaultTransport.RoundTrip(newRequest(t, "POST", m.entry+"/rounds/photos", pr)); err == nil {
+		t.Error("cut upload got an answer at a caller that had left")
+	}
+	if err := <-ended; err == nil {
+		t.Error("target took a cut upload for whole")
+	}
+	// Without a length only the bytes themselves show that there are too many.
+	long := io.MultiReader(bytes.NewReader(make([]byte, 4<<20)), strings.NewReader("x"))
+	got := do(t, newRequest(t, "POST", m.entry+"/rounds/photos", long))
+	if err := <-ended; err == nil || whole.Load() != 0 || strings.HasPrefix(got, "2") {
+		t.Errorf("body beyond the bound: target error %v, answer %s", err, got)
+	}
+	if got := do(t, newRequest(t, "POST", m.entry+"/rounds/photos", bytes.NewReader(make([]byte, 5<<20)))); got != "413 not-run too-large -" {
+		t.Errorf("announced body beyond the bound: %s", got)
+	}
+}
+
+// Guards against answers that reach another caller, when many are on their way
+// out of order and some connections break.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	var n atomic.Int32
+	m := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if n.Add(1)%7 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		io.WriteString(w, r.URL.RequestURI()+" ")
+		w.Write(body)
+	})
+	var wg sync.WaitGroup
+	var ran atomic.Int32
+	for i := range 200 {
+		wg.Go(func() {
+			path, body := fmt.Sprintf("/sheets/%d?q=%%2f", i), strings.Repeat(fmt.Sprint(i), 1+i*20)
+			got := do(t, newRequest(t, "POST", m.entry+"/rounds"+path, strings.NewReader(body)))
+			switch got {
+			case "200 ran - " + path + " " + body:
+				ran.Add(1)
+			case "502 unknown lost -":
+			default:
+				t.Errorf("request %d got %.80q", i, got)
+			}
+		})
+	}
+	wg.Wait()
+	if ran.Load() < 100 {
+		t.Errorf("%d of 200 ran", ran.Load())
+	}
+}
+
+// Guards against child calls that take more than their parent request has, and
+// against "not run" for a request that made a child call.
+func TestChildCalls(t *testing.T) {
+	var m *mesh
+	var child, stranger string
+	m = serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/child" {
+			fmt.Fprintf(w, "retries=%s key=%d", r.Header.Get(dogcall.HeaderRetries), len(r.Header.Values(dogcall.HeaderKey)))
+			return
+		}
+		out, _ := http.NewRequestWithContext(r.Context(), "POST", m.exits[0]+"/rounds/child", nil)
+		out.Header.Set(dogcall.HeaderRetries, "99")
+		out.Header.Set(dogcall.HeaderRequest, "guess")
+		stranger = do(t, out)
+		out.Header.Set(dogcall.HeaderRequest, r.Header.Get(dogcall.HeaderRequest))
+		out.Header.Set(dogcall.HeaderKey, r.Header.Get(dogcall.HeaderKey))
+		child = do(t, out)
+		w.Header().Set(dogcall.HeaderOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	got := do(t, newRequest(t, "POST", m.entry+"/rounds/invoices", nil))
+	// The budget of 3 comes whole to the target; the child call gets 2 of it.
+	if child != "200 ran - retries=2 key=0" || stranger != "401 not-run credential -" || got != "503 ran - -" {
+		t.Errorf("child %q, stranger %q, request %q", child, stranger, got)
+	}
+	if !slices.Contains(m.events, EventUnknownToken) {
+		t.Errorf("events %v without %s", m.events, EventUnknownToken)
+	}
+}
+
+// Guards against a second run of one key: sent again by the caller, at once or
+// later, or dispatched twice to a guard.
+func TestAtMostOnce(t *testing.T) {
+	var runs atomic.Int32
+	m := serveTarget(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) })
+	key := dogwoodford.MakeKey(now(), 1, 2)
+	send := func() string {
+		r := newRequest(t, "POST", m.entry+"/rounds/invoices", nil)
+		r.Header.Set(dogcall.HeaderKey, key.String())
+		return do(t, r)
+	}
+	if a, b := send(), send(); a != "200 ran - run 1" || b != a {
+		t.Errorf("first %q, again %q", a, b)
+	}
+	dispatch := func(key dogwoodford.Key, peerKey string) string {
+		r := newRequest(t, "POST", "http://"+m.targets[0].Peer+"/rounds/invoices", nil)
+		dogcall.Peer{PeerKey: peerKey, Epoch: 1, Spec: dogwoodford.RequestSpec{
+			Customer: "firm-1", Root: "r", Key: key, Deadline: now().Add(time.Minute),
+		}}.Format(r.Header, now())
+		return do(t, r)
+	}
+	old := dogwoodford.MakeKey(now().Add(-11*time.Minute), 1, 2)
+	for _, c := range []struct{ got, want string }{
+		{dispatch(key, peerKey), "409 unknown duplicate -"},
+		{dispatch(old, peerKey), "409 unknown key-age -"},
+		{dispatch(dogwoodford.MakeKey(now(), 3, 4), "wrong key of a peer"), "401 not-run credential -"},
+	} {
+		if c.got != c.want {
+			t.Errorf("dispatch got %q, want %q", c.got, c.want)
+		}
+	}
+	if runs.Load() != 1 {
+		t.Errorf("%d runs", runs.Load())
+	}
+}
+
+// Guards against a panic that takes other requests along, or that keeps what
+// its request held.
+func TestPanicAnswersOneRequest(t *testing.T) {
+	m := serveTarget(t, func(http.ResponseWriter, *http.Request) {})
+	m.panics = true
+	first := do(t, newRequest(t, "GET", m.entry+"/rounds/sheets/1", nil))
+	second := do(t, newRequest(t, "GET", m.entry+"/rounds/sheets/1", nil))
+	if first != "500 unknown internal -" || second != "200 ran - -" || !slices.Contains(m.events, EventPanic) {
+		t.Errorf("first %q, second %q, events %v", first, second, m.events)
+	}
+	for _, h := range m.nodes {
+		if l := h.cfg.Gate.Load(); l.InFlight != 0 || len(h.InProgress()) != 0 {
+			t.Errorf("in flight %d, in progress %d", l.InFlight, len(h.InProgress()))
+		}
+	}
+}
+
+// Guards against queued requests that outlive their caller, and against slots
+// that are lost when the verdict and the cancellation meet.
+func TestGateDropsRequestsWhoseCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(&admission{limit: 1})
+		request := func(id string) dogwoodford.Request {
+			return dogwoodford.NewRequest(dogwoodford.RequestSpec{ID: id})
+		}
+		if v := g.enter(t.Context(), request("a")); v.Action() != dogwoodford.Run {
+			t.Fatal("first request does not run")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan dogwoodford.Verdict)
+		go func() { gone <- g.enter(ctx, request("b")) }()
+		short, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		late := make(chan dogwoodford.Verdict)
+		go func() { late <- g.enter(short, request("c")) }()
+		synctest.Wait()
+		if l := g.Load(); l.Queued != 2 {
+			t.Fatalf("%d queued, want 2", l.Queued)
+		}
+		cancel()
+		if v := <-gone; v.Reason() != dogwoodford.ReasonCancelled {
+			t.Errorf("caller left: %v", v)
+		}
+		if v := <-late; v.Reason() != dogwoodford.ReasonDeadline {
+			t.Errorf("deadline passed: %v", v)
+		}
+		g.leave("a", dogwoodford.Sample{})
+		if l := g.Load(); l.Queued != 0 || l.InFlight != 0 {
+			t.Errorf("load %+v, want none", l)
+		}
+	})
+}
+
+func ExampleNew() {
+	defer func() { fmt.Println(recover()) }()
+	New(Config{Name: "rounds-1"})
+	// Output: doghttp: name, service, target address and peer key are required
+}
--- /dev/null
+++ b/io/request/doghttp/fake_test.go
@@ -0,0 +1,280 @@
+package doghttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/io/connection/dogconn"
+)
+
+const peerKey = "0123456789abcdef"
+
+// control is the control state, pressure, records and router of all nodes of
+// a test.
+type control struct {
+	mu      sync.Mutex
+	targets []dogwoodford.Target
+	set     map[string]bool
+	records map[dogwoodford.Key]Begun
+	events  []Event
+	panics  bool // Router.Pick panics once.
+}
+
+func (c *control) is(flag string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set[flag]
+}
+
+func (c *control) Snapshot() Snapshot { return c }
+func (c *control) Configured() bool   { return !c.is("no-config") }
+func (c *control) Draining() bool     { return c.is("draining") }
+func (c *control) Contract(customer string) (Contract, bool) {
+	return contract{}, customer == "firm-1"
+}
+func (c *control) Targets(string) []dogwoodford.Target { return c.targets }
+func (c *control) Owner(string, dogwoodford.Key) (Owner, bool) {
+	return Owner{Node: c.targets[0].Node, Peer: c.targets[0].Peer}, !c.is("no-owner")
+}
+func (c *control) Quarantined(uint64) (time.Duration, bool) {
+	return time.Minute, c.is("quarantine")
+}
+func (c *control) Refuse(time.Time, string, dogwoodford.Priority) (time.Duration, bool) {
+	return time.Second, c.is("cutoff")
+}
+func (c *control) Observe(time.Time, string, string, dogcall.Report) {}
+func (c *control) Called(time.Time) dogwoodford.Priority             { return 0 }
+func (c *control) Event(_ context.Context, e Event, _ string, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, e)
+}
+
+func (c *control) Begin(_ time.Time, _ string, k dogwoodford.Key) Begun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, seen := c.records[k]
+	if seen && b.Outcome != dogwoodford.NotRun {
+		return b
+	}
+	c.records[k] = Begun{Seen: true, Reason: dogwoodford.ReasonDuplicate}
+	return Begun{Run: true, Seen: seen, Epoch: 1}
+}
+
+func (c *control) Finish(_ time.Time, _ string, k dogwoodford.Key, o dogwoodford.Outcome, kept *Kept) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records[k] = Begun{Seen: true, Outcome: o, Reason: dogwoodford.ReasonDuplicate, Answer: kept}
+}
+
+type contract struct{}
+
+func (contract) Authorized(s string) bool { return s == "s3cret" }
+func (contract) Resend() (int, int)       { return 10, 20 }
+func (contract) Class(_, method, path string) (dogcall.Limits, bool) {
+	l := dogcall.Limits{Class: "c", Importance: 5, Idempotent: method == "GET", Deadline: time.Minute, Retries: 3, MaxBody: 4 << 20}
+	switch {
+	case path == "/once":
+		l.Retries = 0
+	case path == "/slow":
+		l.Deadline = 20 * time.Millisecond
+	}
+	return l, method != "DELETE"
+}
+
+// router takes the first target that was not tried.
+type router struct{ c *control }
+
+func (r router) Pick(_ time.Time, _ dogwoodford.Request, targets []dogwoodford.Target, tried []string) (dogwoodford.Target, dogwoodford.Reason) {
+	if r.c.panics {
+		r.c.panics = false
+		panic("router")
+	}
+	for _, t := range targets {
+		if !strings.Contains(strings.Join(tried, " "), t.Node) {
+			return t, dogwoodford.ReasonNone
+		}
+	}
+	return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
+}
+func (router) Sent(time.Time, string)                                             {}
+func (router) Answered(time.Time, string, time.Duration, bool, *dogwoodford.Load) {}
+func (router) Completed(uint64)                                                   {}
+
+// admission runs limit requests at once and queues the others.
+type admission struct {
+	limit, running int
+	queue          []string
+}
+
+func (a *admission) Offer(_ time.Time, r dogwoodford.Request) (dogwoodford.Verdict, []dogwoodford.Release) {
+	if a.running < a.limit {
+		a.running++
+		return dogwoodford.RunVerdict(), nil
+	}
+	a.queue = append(a.queue, r.ID())
+	return dogwoodford.WaitVerdict(), nil
+}
+
+func (a *admission) Done(time.Time, string, dogwoodford.Sample) []dogwoodford.Release {
+	a.running--
+	return a.Expire(time.Time{})
+}
+
+func (a *admission) Cancel(_ time.Time, id string) bool {
+	for i, q := range a.queue {
+		if q == id {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (a *admission) Expire(time.Time) []dogwoodford.Release {
+	if a.running >= a.limit || len(a.queue) == 0 {
+		return nil
+	}
+	id := a.queue[0]
+	a.queue = a.queue[1:]
+	a.running++
+	return []dogwoodford.Release{{ID: id, Verdict: dogwoodford.RunVerdict()}}
+}
+func (a *admission) SetSlots(n int) { a.limit = n }
+func (a *admission) Load(time.Time) dogwoodford.Load {
+	return dogwoodford.Load{InFlight: a.running, Queued: len(a.queue), Limit: a.limit}
+}
+
+// mesh is an entry node of the service front and two nodes of rounds.
+type mesh struct {
+	*control
+	entry string // URL.
+	exits []string
+	nodes []*Handlers // Those of rounds.
+}
+
+func newMesh(t *testing.T, target string) *mesh {
+	c := &control{set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
+	m := &mesh{control: c}
+	listen := func(h http.Handler) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		return s.URL
+	}
+	node := func(name, service string) *Handlers {
+		peers, targets := dogconn.NewPeer(dogconn.Options{}), dogconn.NewTarget(dogconn.Options{MaxConns: 100})
+		t.Cleanup(func() { peers.Close(); targets.Close() })
+		return New(Config{
+			Name: name, Service: service, TargetAddress: target, PeerKey: peerKey,
+			Control: c, Pressure: c, Records: c, Events: c, Peers: peers, Target: targets,
+			Gate: NewGate(&admission{limit: 100}), Router: NewBalancer(router{c}),
+		})
+	}
+	for _, name := range []string{"rounds-1", "rounds-2"} {
+		h := node(name, "rounds")
+		peer := strings.TrimPrefix(listen(h.Peer()), "http://")
+		c.targets = append(c.targets, dogwoodford.Target{Node: name, Service: "rounds", Peer: peer})
+		m.nodes, m.exits = append(m.nodes, h), append(m.exits, listen(h.Exit()))
+	}
+	m.entry = listen(node("front-1", "front").Entry())
+	return m
+}
+
+func newRequest(t testing.TB, method, url string, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(dogcall.HeaderCustomer, "firm-1")
+	r.Header.Set(dogcall.HeaderAuthorization, "Bearer s3cret")
+	return r
+}
+
+// rawTarget acts out a script, one action for each request that it reads.
+type rawTarget struct {
+	addr   string
+	mu     sync.Mutex
+	script []string
+	runs   int
+	read   chan struct{} // Gets a value for each request of the action late.
+}
+
+var rawAnswers = map[string]string{
+	"ok":              "200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"twice":           "200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo",
+	"shed":            "503 Busy\r\nDogwoodford-Outcome: not-run\r\nContent-Length: 4\r\n\r\nshed",
+	"busy":            "503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+	"trailer":         "200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n",
+	"trailer-missing": "200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"header-cut":      "200 OK\r\nContent-Le",
+	"short":           "200 OK\r\nContent-Length: 10\r\n\r\npart",
+	"chunk-cut":       "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	"unframed":        "200 OK\r\n\r\nperhaps all",
+}
+
+func newRawTarget(t *testing.T) *rawTarget {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &rawTarget{addr: ln.Addr().String(), read: make(chan struct{}, 10)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+func (f *rawTarget) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		f.mu.Lock()
+		f.runs++
+		action := "ok"
+		if len(f.script) > 0 {
+			action, f.script = f.script[0], f.script[1:]
+		}
+		f.mu.Unlock()
+		switch action {
+		case "reset":
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		case "close":
+			return
+		case "late":
+			f.read <- struct{}{}
+			br.ReadByte() // Ends when the guard gives the connection up.
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 "+rawAnswers[action])
+		if strings.HasSuffix(action, "-cut") || action == "short" || action == "unframed" {
+			return
+		}
+	}
+}
+
+func now() time.Time { return time.Now() }
