Check request trailers; test call trees over several hops

Cause: a request whose announced trailer was missing passed as whole. That the retry budget and the end of a customer request reach child calls was shown for the ledger only, not over HTTP.

Ruled out: the trace hook per header field on HTTP/1.1, as the count of writes of the connection is exact there; it stays for HTTP/2.

--- a/io/request/doghttp/body.go
+++ b/io/request/doghttp/body.go
@@ -180,6 +180,12 @@
 	switch {
 	case err == io.EOF:
 		b.ended = true
+		for k, v := range b.r.Trailer {
+			if len(v) == 0 {
+				err = fmt.Errorf("trailer %s: %w", k, errTrailer)
+				b.err = err
+			}
+		}
 	case err != nil && b.err == nil:
 		b.err = err
 	}
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -161,6 +161,7 @@
 type mesh struct {
 	*control
 	entry string // URL.
+	leave func() // Makes the caller of a test go away.
 	exits []string
 	nodes []*Handlers // Those of rounds.
 }
