--- /dev/null
+++ b/core/process/dogrecord/doc.go
@@ -0,0 +1,26 @@
+// Package dogrecord keeps the records by which an owner runs each key at most
+// once, and the keys that a guard was given.
+//
+// The state of a key is memory only. It is kept until the key's issue time is
+// Retention ago; a key older than that is refused as unknown. The horizon
+// between the two never moves back, so a clock that does cannot make a
+// forgotten key run again.
+//
+// # Usage
+//
+//	g := table.May(now, key)           // dogrange
+//	d := records.Begin(now, dogrecord.Attempt{Key: key, Epoch: g.Epoch, Number: n, Scope: s})
+//	if d.Run() {
+//		// Dispatch, then:
+//		records.Finish(key, dogrecord.Result{Outcome: dogwoodford.Ran, Status: 200, Answer: b})
+//	}
+//
+// # Bounds
+//
+// Records bounds the number of records; at the bound a new key is refused as
+// not run and no record is forgotten. AnswerBytes bounds the kept answers; at
+// the bound the oldest answers are dropped and their records remain as "ran".
+//
+// All methods are safe for concurrent use. The package does not decide which
+// node owns a key; see dogrange. It encodes nothing for the wire.
+package dogrecord
