Keep at-most-once records of an owner

Cause: an owner has to answer duplicates and must never run a key twice. Ruled out: expiry by the clock alone, as a clock that steps back would make a forgotten key young again; a horizon that never falls replaces it. A record of its own expiry per key, as whole maps of 16 s of issue times cost nothing per record. Forgetting the oldest record at the bound, as its key could run again; new keys are refused instead. "Not run" to a resend that is refused without a record, as a delayed earlier attempt may still run. Change: sharded records with caps, closing, export and import, and the guard's memory of keys it was given.

--- a/core/process/dogrecord/records.go
+++ b/core/process/dogrecord/records.go
@@ -1,6 +1,8 @@
 package dogrecord
 
 import (
+	"hash/maphash"
+	"sync/atomic"
 	"time"
 
 	"dogwoodford"
@@ -67,7 +69,7 @@
 type Result struct {
 	Outcome dogwoodford.Outcome
 	Status  int
-	Answer  []byte // Encoded answer; kept only if small enough. Not copied.
+	Answer  []byte // Encoded answer; kept if not nil and small enough. Not copied.
 }
 
 // Record is the fate of one key, for a handover.
@@ -90,47 +92,263 @@
 }
 
 // Records holds the records of one owner. It is safe for concurrent use.
-type Records struct{}
+type Records struct {
+	o       Options
+	seed    maphash.Seed
+	shards  []shard
+	count   atomic.Int64
+	refused atomic.Int64
+}
 
 // New returns empty records. It panics if Shards is not a power of two.
-func New(o Options) *Records { return &Records{} }
+func New(o Options) *Records {
+	if o.Retention == 0 {
+		o.Retention = 10 * time.Minute
+	}
+	if o.Answer == 0 {
+		o.Answer = 4 << 10
+	}
+	if o.AnswerBytes == 0 {
+		o.AnswerBytes = 64 << 20
+	}
+	if o.Records == 0 {
+		o.Records = 600_000
+	}
+	if o.Shards == 0 {
+		o.Shards = 64
+	}
+	if o.Shards < 1 || o.Shards&(o.Shards-1) != 0 {
+		panic("dogrecord: shards not a power of two")
+	}
+	r := &Records{o: o, seed: maphash.MakeSeed(), shards: make([]shard, o.Shards)}
+	for i := range r.shards {
+		r.shards[i].buckets = make(map[int64]bucket)
+	}
+	return r
+}
 
 // Begin records the key as in progress, or says why it must not run.
-func (r *Records) Begin(now time.Time, a Attempt) Decision { return Decision{} }
+func (r *Records) Begin(now time.Time, a Attempt) Decision {
+	s := r.shard(a.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.count.Add(-s.raise(now.Add(-r.o.Retention).UnixMilli()))
+	issued := a.Key.Issued().UnixMilli()
+	if issued < s.horizon {
+		return Decision{Answer: Unknown, Reason: dogwoodford.ReasonKeyAge}
+	}
+	rec, known := s.get(a.Key)
+	if known {
+		if d, settled := rec.decide(a); settled {
+			return d
+		}
+	}
+	if !s.fences[a.Number].admits(a.Epoch, issued) {
+		return a.refuse(dogwoodford.ReasonRange)
+	}
+	if !known && !r.reserve() {
+		return a.refuse(dogwoodford.ReasonOverload)
+	}
+	f := &s.fences[a.Number]
+	f.newest = max(f.newest, issued)
+	s.put(a.Key, record{scope: a.Scope, attempt: clampAttempt(a.Attempt), state: inProgress, number: uint8(a.Number)})
+	s.busy++
+	return Decision{Answer: RunNow}
+}
+
+// refuse answers an attempt that is not recorded. A later attempt is answered
+// unknown, because an earlier one may be on its way and be admitted.
+func (a Attempt) refuse(reason dogwoodford.Reason) Decision {
+	if a.Attempt == 1 {
+		return Decision{Answer: NotRun, Reason: reason}
+	}
+	return Decision{Answer: Unknown, Reason: reason}
+}
+
+// reserve counts one more record, unless the bound is reached.
+func (r *Records) reserve() bool {
+	if r.count.Add(1) > int64(r.o.Records) {
+		r.count.Add(-1)
+		r.refused.Add(1)
+		return false
+	}
+	return true
+}
 
 // Finish records the end of a key for which Begin said RunNow. It panics if
 // the key is not in progress, unless the record has expired.
-func (r *Records) Finish(key dogwoodford.Key, res Result) {}
+func (r *Records) Finish(key dogwoodford.Key, res Result) {
+	s := r.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec, ok := s.get(key)
+	if !ok {
+		if key.Issued().UnixMilli() >= s.horizon {
+			panic("dogrecord: finish of a key that was not begun")
+		}
+		return
+	}
+	if rec.state != inProgress {
+		panic("dogrecord: finish of a key that is not in progress")
+	}
+	s.busy--
+	rec.state = stateOf(res.Outcome)
+	rec.status = int16(res.Status)
+	r.keep(s, key, &rec, res.Answer)
+	s.put(key, rec)
+}
+
+// keep attaches an answer that is small enough, dropping older answers of the
+// shard beyond its part of the bound.
+func (r *Records) keep(s *shard, key dogwoodford.Key, rec *record, answer []byte) {
+	rec.answer = nil
+	if rec.state != ran || answer == nil || len(answer) > r.o.Answer {
+		return
+	}
+	size := answerCost(answer)
+	limit := r.o.AnswerBytes / int64(len(r.shards))
+	if size > limit {
+		return
+	}
+	s.dropAnswers(limit - size)
+	kept := answer // Only an answer that is kept is moved to the heap.
+	rec.answer = &kept
+	s.answers += size
+	s.order = append(s.order, key)
+}
 
 // Cap refuses from now on keys of the epoch issued at or after the returned
-// time: at, or 1 ms after the newest key begun in the epoch. Times are
+// time: at, or 1 ms after the newest key begun in the range. Times are
 // milliseconds since the Unix epoch.
-func (r *Records) Cap(number int, epoch, at int64) int64 { return at }
+func (r *Records) Cap(number int, epoch, at int64) int64 {
+	// All shards are held at once, so that no key begins between the reading
+	// of the newest and the cap.
+	r.lockAll()
+	defer r.unlockAll()
+	for i := range r.shards {
+		at = max(at, r.shards[i].fences[number].newest+1)
+	}
+	for i := range r.shards {
+		f := &r.shards[i].fences[number]
+		f.capEpoch, f.capAt = epoch, at
+	}
+	return at
+}
 
 // LiftCap undoes Cap.
-func (r *Records) LiftCap(number int, epoch int64) {}
+func (r *Records) LiftCap(number int, epoch int64) {
+	r.lockAll()
+	defer r.unlockAll()
+	for i := range r.shards {
+		if f := &r.shards[i].fences[number]; f.capEpoch == epoch {
+			f.capEpoch, f.capAt = 0, 0
+		}
+	}
+}
 
 // Close refuses from now on all new keys of the epoch and of earlier ones.
 // There is no way back.
-func (r *Records) Close(number int, epoch int64) {}
+func (r *Records) Close(number int, epoch int64) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		s.fences[number].closed = max(s.fences[number].closed, epoch)
+		s.mu.Unlock()
+	}
+}
 
 // Busy returns how many keys of the range issued before end are in progress.
-func (r *Records) Busy(number int, end int64) int { return 0 }
+func (r *Records) Busy(number int, end int64) int {
+	n := 0
+	r.each(number, 0, end, func(_ dogwoodford.Key, rec record) {
+		if rec.state == inProgress {
+			n++
+		}
+	})
+	return n
+}
 
 // Export returns the records of the range for keys issued in [start, end), and
 // the first issue time from which they are complete, at least start: records
 // below it have expired. Close must have been called.
 func (r *Records) Export(now time.Time, number int, start, end int64) (from int64, records []Record) {
-	return start, nil
+	r.Expire(now)
+	from = start
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		from = max(from, s.horizon)
+		s.mu.Unlock()
+	}
+	r.each(number, from, end, func(k dogwoodford.Key, rec record) {
+		records = append(records, rec.export(k))
+	})
+	return from, records
 }
 
 // Import adds records of a former owner; what was in progress there counts as
 // unknown. It reports whether all fit; if not, the handover failed.
-func (r *Records) Import(now time.Time, records []Record) bool { return false }
+func (r *Records) Import(now time.Time, records []Record) bool {
+	for i := range records {
+		in := &records[i]
+		if in.Key.IsZero() {
+			return false
+		}
+		if !r.importOne(now, in) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Records) importOne(now time.Time, in *Record) bool {
+	s := r.shard(in.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.count.Add(-s.raise(now.Add(-r.o.Retention).UnixMilli()))
+	if in.Key.Issued().UnixMilli() < s.horizon {
+		return true // Keys this old are refused without a record.
+	}
+	old, known := s.get(in.Key)
+	if known && !old.yields(in) {
+		return true
+	}
+	if !known && !r.reserve() {
+		return false
+	}
+	rec := record{
+		scope: in.Scope, attempt: clampAttempt(in.Attempt), state: stateOf(in.Outcome),
+		status: int16(in.Status), number: uint8(in.Key.Range()),
+	}
+	if in.InProgress {
+		rec.state = unknown
+	}
+	r.keep(s, in.Key, &rec, in.Answer)
+	s.put(in.Key, rec)
+	return true
+}
 
 // Expire forgets records beyond the retention. Begin does so as well; drivers
 // call Expire every few seconds so that an idle owner frees its memory.
-func (r *Records) Expire(now time.Time) {}
+func (r *Records) Expire(now time.Time) {
+	h := now.Add(-r.o.Retention).UnixMilli()
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		r.count.Add(-s.raise(h))
+		s.mu.Unlock()
+	}
+}
 
 // Stats returns what is held.
-func (r *Records) Stats() Stats { return Stats{} }
+func (r *Records) Stats() Stats {
+	st := Stats{Records: int(r.count.Load()), Refused: r.refused.Load()}
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		st.InProgress += s.busy
+		st.AnswerBytes += s.answers
+		s.mu.Unlock()
+	}
+	return st
+}
