--- /dev/null
+++ b/core/process/dogmember/event.go
@@ -0,0 +1,181 @@
+package dogmember
+
+import (
+	"time"
+
+	"dogwoodford"
+)
+
+// Event is one of the event types of this file.
+type Event interface{ isEvent() }
+
+type (
+	// Tick lets time pass. The driver sends one every 100 ms.
+	Tick struct{}
+	// ProbeArrived is a Probe call from a peer. One of the actions is a Reply.
+	ProbeArrived struct {
+		From    string
+		Message Message
+	}
+	// ProbeAnswered is the answer to the Probe action with this ID.
+	ProbeAnswered struct {
+		ID      uint64
+		Message Message
+	}
+	// ProbeFailed ends the Probe action with this ID without an answer in time.
+	ProbeFailed struct{ ID uint64 }
+	// ProbeViaAnswered is the result of the ProbeVia action with this ID; Alive
+	// is false if the call itself failed.
+	ProbeViaAnswered struct {
+		ID    uint64
+		Alive bool
+	}
+	// NotifyArrived is a Notify call from a peer.
+	NotifyArrived struct {
+		From    string
+		Message Message
+	}
+	// PullArrived is a Pull call from a peer. One of the actions is a
+	// PullReply. Parts is empty if the peer asks for the whole state.
+	PullArrived struct {
+		From  string
+		Self  *Member // Record of the caller, if it sent one.
+		Parts []uint64
+	}
+	// PullAnswered is the answer to a Pull action.
+	PullAnswered struct {
+		Peer    string
+		Updates []Update
+	}
+	// PullFailed ends a Pull action without an answer.
+	PullFailed struct{ Peer string }
+	// SelfChanged tells the state of this node and its target.
+	SelfChanged struct {
+		State dogwoodford.State
+		Slots int
+	}
+	// Publish spreads an update of another package. Urgent updates are sent to
+	// some peers at once instead of with the next probe.
+	Publish struct {
+		Update Update
+		Urgent bool
+	}
+	// ContractsChanged tells the hash of the contract generations in force.
+	ContractsChanged struct{ Hash uint64 }
+	// MarkSeen is a mark read from the platform's object drain/<node>.
+	MarkSeen struct {
+		Node string
+		Mark DrainMark
+	}
+	// SeedsRead is the result of a ReadSeeds action: the objects under
+	// "members/", or an error.
+	SeedsRead struct {
+		Objects []dogwoodford.Object
+		Err     error
+	}
+	// SeedsWritten is the result of a WriteSeeds action.
+	SeedsWritten struct {
+		Version int64
+		Err     error
+	}
+)
+
+func (Tick) isEvent()             {}
+func (ProbeArrived) isEvent()     {}
+func (ProbeAnswered) isEvent()    {}
+func (ProbeFailed) isEvent()      {}
+func (ProbeViaAnswered) isEvent() {}
+func (NotifyArrived) isEvent()    {}
+func (PullArrived) isEvent()      {}
+func (PullAnswered) isEvent()     {}
+func (PullFailed) isEvent()       {}
+func (SelfChanged) isEvent()      {}
+func (Publish) isEvent()          {}
+func (ContractsChanged) isEvent() {}
+func (MarkSeen) isEvent()         {}
+func (SeedsRead) isEvent()        {}
+func (SeedsWritten) isEvent()     {}
+
+// Action is one of the action types of this file.
+type Action interface{ isAction() }
+
+type (
+	// Probe sends Message to Peer and waits for the answer for Timeout.
+	Probe struct {
+		ID      uint64
+		Node    string // Empty if Peer is a seed of unknown name.
+		Peer    string
+		Message Message
+		Timeout time.Duration
+	}
+	// ProbeVia asks the node at Via to probe Peer.
+	ProbeVia struct {
+		ID      uint64
+		Via     string
+		Peer    string
+		Timeout time.Duration
+	}
+	// Notify sends Message to Peer; nothing is reported back.
+	Notify struct {
+		Peer    string
+		Message Message
+	}
+	// Reply answers the ProbeArrived that caused it.
+	Reply struct{ Message Message }
+	// PullReply answers the PullArrived that caused it. All is set if the peer
+	// asked for the whole state; the driver then adds the updates of the other
+	// packages.
+	PullReply struct {
+		Updates []Update
+		All     bool
+	}
+	// Pull asks Peer for the members in the parts whose hashes differ, or for
+	// the whole state if Parts is empty.
+	Pull struct {
+		Peer  string
+		Self  Member
+		Parts []uint64
+	}
+	// Deliver hands a received update of another package to the driver, with
+	// the node that told it.
+	Deliver struct {
+		From   string // Name of the node; the peer address for a pull.
+		Update Update
+	}
+	// ContractsDiffer tells that a peer has other contract generations in
+	// force.
+	ContractsDiffer struct{ Node, Peer string }
+	// Changed tells that Targets and Members return something new.
+	Changed struct{}
+	// MemberFailed tells that a member is now held for failed.
+	MemberFailed struct{ Member Member }
+	// BeginDrain tells that this node is to drain, by a mark of the platform.
+	BeginDrain struct{}
+	// ReadSeeds asks for the objects under Prefix: "members/", or the name of
+	// the object of this node's data centre.
+	ReadSeeds struct{ Prefix string }
+	// WriteSeeds writes the object of this node's data centre.
+	WriteSeeds struct {
+		Name     string
+		Expected int64
+		Value    []byte
+	}
+	// KeeperChanged tells whether this node is one of the two keepers and
+	// watchers of its data centre.
+	KeeperChanged struct{ Keeper bool }
+)
+
+func (Probe) isAction()           {}
+func (ProbeVia) isAction()        {}
+func (Notify) isAction()          {}
+func (Reply) isAction()           {}
+func (PullReply) isAction()       {}
+func (Pull) isAction()            {}
+func (Deliver) isAction()         {}
+func (ContractsDiffer) isAction() {}
+func (Changed) isAction()         {}
+func (MemberFailed) isAction()    {}
+func (BeginDrain) isAction()      {}
+func (ReadSeeds) isAction()       {}
+func (WriteSeeds) isAction()      {}
+func (KeeperChanged) isAction()   {}
