Find requests that crash their targets

Ruled out: one report per digest with a flag "alone". Two targets that die at once cannot know of each other, so the flag convicts a popular innocent digest that was in progress at both; and a node that got only some of the reports takes the wrong one for the culprit. A report now holds all digests of a death, and each node derives the verdict from the set of deaths.

Change: Suspects, View and Gate. A digest is quarantined when it was the only suspect in progress at a later death; a suspect that completes is cleared everywhere.

--- a/core/process/dogsuspect/doc.go
+++ b/core/process/dogsuspect/doc.go
@@ -16,22 +16,26 @@
 //
 // # Merging
 //
-// A Report is either a death, a clearance or a release, of one digest. The
-// state of a digest is a function of the set of reports, whatever their order
-// and number, so that all nodes come to the same result. A clearance or release
-// covers the deaths up to its time.
+// A Report is a death with all digests in progress there, a clearance or a
+// release. The standing of a digest is a function of the set of reports,
+// whatever their order and number, so that all nodes come to the same result. A
+// clearance or release covers the deaths up to its time.
+//
+// When the only two deaths of a digest share another digest that was not
+// cleared, nothing tells the culprit: both stay suspects, and the first that
+// completes is cleared, which convicts the other.
 //
 // # Usage
 //
 //	s := dogsuspect.New(dogsuspect.Options{Node: name})
 //	g := dogsuspect.NewGate()
-//	switch v := g.Start(now, s.View(), id, digest); v.Action() {
+//	switch v := g.Start(now, view, id, digest); v.Action() {
 //	case dogwoodford.Run:
-//		// Dispatch, then g.Done(now, id, completed).
+//		// Dispatch, then g.Done(now, view, id, completed).
 //	case dogwoodford.Refuse:
 //		// Answer not run.
 //	}
-//	acts := s.OnEvent(now, dogsuspect.TargetDied{Death: g.Died(now, deathID)})
+//	acts := s.OnEvent(now, dogsuspect.TargetDied{ID: deathID, Digests: g.Died()})
 //
 // The package does no I/O. Suspects and Gate are not safe for concurrent use; a
 // View is. Nothing is reported when the node dies together with its target.
--- /dev/null
+++ b/core/process/dogsuspect/gate.go
@@ -0,0 +1,60 @@
+package dogsuspect
+
+import (
+	"time"
+
+	"dogwoodford"
+)
+
+// isolatedRetry is the hint to callers of a suspect that must wait for another.
+const isolatedRetry = time.Second
+
+// Gate decides which suspects one target runs. It is not safe for concurrent
+// use; the guard holds its own lock around it.
+type Gate struct{ running map[string]uint64 }
+
+// NewGate returns a gate with nothing in progress.
+func NewGate() *Gate { return &Gate{running: map[string]uint64{}} }
+
+// Start decides on the start of a request: Run, or Refuse for
+// ReasonQuarantined or ReasonIsolated. A zero digest always runs. On Run the
+// request is in progress until Done or Died.
+func (g *Gate) Start(now time.Time, v *View, id string, digest uint64) dogwoodford.Verdict {
+	if digest == 0 {
+		return dogwoodford.RunVerdict()
+	}
+	switch e := v.Lookup(now, digest); e.Standing {
+	case Quarantined:
+		return dogwoodford.RefuseVerdict(dogwoodford.ReasonQuarantined, e.Until.Sub(now))
+	case Suspected:
+		// Content that became suspect while it ran counts too, so the view is
+		// asked about all that runs.
+		for _, d := range g.running {
+			if v.Lookup(now, d).Standing != Clean {
+				return dogwoodford.RefuseVerdict(dogwoodford.ReasonIsolated, isolatedRetry)
+			}
+		}
+	}
+	g.running[id] = digest
+	return dogwoodford.RunVerdict()
+}
+
+// Done ends a request; completed tells that the target answered it. It reports
+// the digest of a suspect that completed, which is then to be told as
+// Completed.
+func (g *Gate) Done(now time.Time, v *View, id string, completed bool) (digest uint64, cleared bool) {
+	digest = g.running[id]
+	delete(g.running, id)
+	return digest, completed && digest != 0 && v.Lookup(now, digest).Standing == Suspected
+}
+
+// Died ends all requests in progress at the death of the target and returns
+// their digests.
+func (g *Gate) Died() []uint64 {
+	digests := make([]uint64, 0, len(g.running))
+	for _, d := range g.running {
+		digests = append(digests, d)
+	}
+	clear(g.running)
+	return normal(digests)
+}
--- a/core/process/dogsuspect/suspect.go
+++ b/core/process/dogsuspect/suspect.go
@@ -1,9 +1,11 @@
 package dogsuspect
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
-	"dogwoodford"
 	"dogwoodford/core/process/dogmember"
 )
 
@@ -11,150 +13,321 @@
 type Kind int
 
 const (
-	// Death: the digest was in progress when a target died.
+	// Death means that the digests were in progress when a target died.
 	Death Kind = iota
-	// Cleared: the digest completed after the deaths up to the report's time.
+	// Cleared means that the digests completed after the deaths up to the report's time.
 	Cleared
-	// Released: an operator released the digest.
+	// Released means that an operator released the digests.
 	Released
 )
 
-// Report is what a node tells of one digest. Updates carry it by value.
+// MaxDigests is the number of digests in one report. Further ones in progress
+// at a death are left out.
+const MaxDigests = 256
+
+// Report is what a node tells of a death, or of digests. Updates carry it by
+// value.
 type Report struct {
 	Kind    Kind
-	Digest  uint64
+	Digests []uint64 // Sorted, without zero and duplicates.
 	Service string
 	At      time.Time // Time of the death; deaths up to it are cleared or released. Whole milliseconds.
 	Death   string    // Names the death of one target, so that it counts once; for Death only.
-	Alone   bool      // No other suspect was in progress there; for Death only.
 }
 
 // ReportUpdate returns the update that carries r.
-func ReportUpdate(r Report) dogmember.Update { return dogmember.Update{} }
+func ReportUpdate(r Report) dogmember.Update {
+	key := "suspect/" + r.Death
+	if r.Kind != Death {
+		key = fmt.Sprintf("suspect/%d/%x", r.Kind, r.Digests)
+	}
+	return dogmember.Update{Key: key, Value: r}
+}
 
 // Options configure Suspects. Zero values take the defaults in the comments.
 type Options struct {
-	Quarantine time.Duration // Length of a quarantine after the last death; 15 min.
-	Retain     time.Duration // Time for which a death counts; 15 min.
-	MaxDigests int           // Digests kept; 4,096.
-	MaxDeaths  int           // Deaths kept per digest; 4.
+	Quarantine time.Duration // Length of a suspicion or quarantine after the last death; 15 min.
+	Retain     time.Duration // Time for which a death is kept; 30 min.
+	MaxDeaths  int           // Deaths kept, the latest; 512.
+	MaxCovered int           // Clearances and releases kept, the latest; 4,096.
 }
 
-// Standing is how a digest is to be treated.
-type Standing int
-
-const (
-	// Clean digests run freely.
-	Clean Standing = iota
-	// Suspected digests run alone among suspects at a target.
-	Suspected
-	// Quarantined digests are refused.
-	Quarantined
-)
+// maxSkew is how far in the future a report may be, as clocks differ.
+const maxSkew = time.Minute
 
-// Entry describes a digest that is not clean.
-type Entry struct {
-	Digest   uint64
-	Service  string
-	Standing Standing
-	Deaths   int
-	Last     time.Time // Time of the last death.
-	Until    time.Time // End of the quarantine or of the suspicion.
+// death is one death of a target.
+type death struct {
+	id      string
+	at      time.Time
+	service string
+	digests []uint64
 }
 
-// View is an immutable snapshot of the suspects. It is safe for concurrent use.
-type View struct{ entries map[uint64]Entry }
-
-// Lookup returns the entry of a digest; its Standing is Clean if there is none
-// or it has ended.
-func (v *View) Lookup(now time.Time, digest uint64) Entry { return Entry{} }
-
-// Entries returns all entries by digest.
-func (v *View) Entries() []Entry { return nil }
-
 // Suspects holds what one node knows of suspects. It is not safe for concurrent
 // use.
-type Suspects struct{ opt Options }
+type Suspects struct {
+	opt     Options
+	deaths  map[string]*death
+	covered map[uint64]Report // Latest clearance or release by digest.
+	view    *View
+	acts    []Action
+}
 
 // New returns Suspects that know of none.
-func New(opt Options) *Suspects { return &Suspects{opt: opt} }
+func New(opt Options) *Suspects {
+	if opt.Quarantine == 0 {
+		opt.Quarantine = 15 * time.Minute
+	}
+	if opt.Retain == 0 {
+		opt.Retain = 30 * time.Minute
+	}
+	if opt.MaxDeaths == 0 {
+		opt.MaxDeaths = 512
+	}
+	if opt.MaxCovered == 0 {
+		opt.MaxCovered = 4096
+	}
+	return &Suspects{
+		opt:     opt,
+		deaths:  map[string]*death{},
+		covered: map[uint64]Report{},
+		view:    &View{},
+	}
+}
 
 // OnEvent applies an event and returns what to do.
-func (s *Suspects) OnEvent(now time.Time, ev Event) []Action { return nil }
+func (s *Suspects) OnEvent(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case Tick:
+		if s.expire(now) {
+			s.rebuild(now)
+		}
+	case TargetDied:
+		s.onDied(now, ev)
+	case Heard:
+		if s.merge(now, ev.Report) {
+			s.act(Spread(ev))
+			s.rebuild(now)
+		}
+	case Completed:
+		if e := s.view.Lookup(now, ev.Digest); e.Standing == Suspected {
+			s.cover(now, Cleared, e)
+		}
+	case Release:
+		if e := s.view.Lookup(now, ev.Digest); e.Standing != Clean {
+			s.cover(now, Released, e)
+		}
+	}
+	acts := s.acts
+	s.acts = nil
+	return acts
+}
 
-// View returns the present suspects.
-func (s *Suspects) View() *View { return &View{} }
+func (s *Suspects) act(a Action) { s.acts = append(s.acts, a) }
 
-// Reports returns all reports that still count, for a Pull of the whole state.
-func (s *Suspects) Reports() []Report { return nil }
-
-// Event is one of the event types of this file.
-type Event interface{ isEvent() }
-
-type (
-	// Tick lets time pass; once a second is enough.
-	Tick struct{}
-	// TargetDied tells the death of the target of this node, from Gate.Died.
-	TargetDied struct {
-		ID       string // Unique name of the death: node, incarnation and a count.
-		Service  string
-		Progress []InProgress
-	}
-	// Heard is a report from a peer.
-	Heard struct{ Report Report }
-	// Completed tells that a suspect completed at the target of this node, from
-	// Gate.Done.
-	Completed struct{ Digest uint64 }
-	// Release is the order of an operator.
-	Release struct{ Digest uint64 }
-)
+func (s *Suspects) onDied(now time.Time, ev TargetDied) {
+	digests := normal(ev.Digests)
+	if len(digests) == 0 {
+		return
+	}
+	r := Report{
+		Kind:    Death,
+		Digests: digests,
+		Service: ev.Service,
+		At:      now.Truncate(time.Millisecond),
+		Death:   ev.ID,
+	}
+	if s.merge(now, r) {
+		s.act(Spread{Report: r})
+		s.rebuild(now)
+	}
+}
 
-func (Tick) isEvent()       {}
-func (TargetDied) isEvent() {}
-func (Heard) isEvent()      {}
-func (Completed) isEvent()  {}
-func (Release) isEvent()    {}
-
-// Action is one of the action types of this file.
-type Action interface{ isAction() }
-
-type (
-	// Spread publishes a report to all nodes as urgent (see ReportUpdate).
-	Spread struct{ Report Report }
-	// Changed tells that View returns something new.
-	Changed struct{}
-	// QuarantineBegun reports a quarantine to operators.
-	QuarantineBegun struct{ Entry Entry }
-)
+// normal returns sorted digests without zero and duplicates, at most
+// MaxDigests.
+func normal(digests []uint64) []uint64 {
+	out := slices.Clone(digests)
+	slices.Sort(out)
+	out = slices.Compact(out)
+	if len(out) > 0 && out[0] == 0 {
+		out = out[1:]
+	}
+	return out[:min(len(out), MaxDigests)]
+}
 
-func (Spread) isAction()          {}
-func (Changed) isAction()         {}
-func (QuarantineBegun) isAction() {}
+// cover clears or releases a digest of the deaths known here. The time is that
+// of the last death, not now, so that a death of which this node has not heard
+// still counts.
+func (s *Suspects) cover(now time.Time, k Kind, e Entry) {
+	r := Report{Kind: k, Digests: []uint64{e.Digest}, Service: e.Service, At: e.Last}
+	if s.merge(now, r) {
+		s.act(Spread{Report: r})
+		s.rebuild(now)
+	}
+}
 
-// InProgress is a digest in progress at the death of a target.
-type InProgress struct {
-	Digest uint64
-	Alone  bool // It was a suspect, and no other suspect was in progress.
+// merge adds a report and tells whether it was news.
+func (s *Suspects) merge(now time.Time, r Report) bool {
+	if r.At.After(now.Add(maxSkew)) || now.Sub(r.At) >= s.opt.Retain {
+		return false
+	}
+	r.Digests = normal(r.Digests)
+	if len(r.Digests) == 0 {
+		return false
+	}
+	if r.Kind == Death {
+		if r.Death == "" || s.deaths[r.Death] != nil {
+			return false
+		}
+		s.deaths[r.Death] = &death{id: r.Death, at: r.At, service: r.Service, digests: r.Digests}
+		s.boundDeaths()
+		return s.deaths[r.Death] != nil
+	}
+	news := false
+	for _, d := range r.Digests {
+		if old, ok := s.covered[d]; ok && !old.At.Before(r.At) {
+			continue
+		}
+		one := r
+		one.Digests = []uint64{d}
+		s.covered[d] = one
+		news = true
+	}
+	s.boundCovered()
+	return news
+}
+
+// boundDeaths drops the oldest death beyond the bound.
+func (s *Suspects) boundDeaths() {
+	if len(s.deaths) <= s.opt.MaxDeaths {
+		return
+	}
+	sorted := s.sortedDeaths()
+	delete(s.deaths, sorted[0].id)
+}
+
+func (s *Suspects) boundCovered() {
+	for len(s.covered) > s.opt.MaxCovered {
+		var oldest uint64
+		for d, r := range s.covered {
+			if o := s.covered[oldest]; oldest == 0 || r.At.Before(o.At) || r.At.Equal(o.At) && d < oldest {
+				oldest = d
+			}
+		}
+		delete(s.covered, oldest)
+	}
+}
+
+// sortedDeaths returns the deaths by time, then by name.
+func (s *Suspects) sortedDeaths() []*death {
+	out := make([]*death, 0, len(s.deaths))
+	for _, d := range s.deaths {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b *death) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	return out
+}
+
+// expire drops reports that no longer count and tells whether the view changed.
+func (s *Suspects) expire(now time.Time) bool {
+	for id, d := range s.deaths {
+		if now.Sub(d.at) >= s.opt.Retain {
+			delete(s.deaths, id)
+		}
+	}
+	for d, r := range s.covered {
+		if now.Sub(r.At) >= s.opt.Retain {
+			delete(s.covered, d)
+		}
+	}
+	for _, e := range s.view.entries {
+		if !now.Before(e.Until) {
+			return true
+		}
+	}
+	return false
 }
 
-// Gate decides which suspects one target runs. It is not safe for concurrent
-// use; the guard holds its own lock around it.
-type Gate struct{}
+// counts reports whether a death still counts for a digest.
+func (s *Suspects) counts(d *death, digest uint64) bool {
+	r, ok := s.covered[digest]
+	return !ok || d.at.After(r.At)
+}
 
-// NewGate returns a gate with nothing in progress.
-func NewGate() *Gate { return &Gate{} }
+// rebuild makes a new view.
+func (s *Suspects) rebuild(now time.Time) {
+	old := s.view
+	next := &View{entries: map[uint64]Entry{}}
+	for _, d := range s.sortedDeaths() {
+		if now.Sub(d.at) < s.opt.Retain {
+			s.addDeath(next.entries, d)
+		}
+	}
+	for g, e := range next.entries {
+		if !now.Before(e.Until) {
+			delete(next.entries, g)
+		}
+	}
+	s.view = next
+	s.act(Changed{})
+	for _, e := range next.Entries() {
+		if e.Standing == Quarantined && old.entries[e.Digest].Standing != Quarantined {
+			s.act(QuarantineBegun{Entry: e})
+		}
+	}
+}
 
-// Start decides on the start of a request: Run, or Refuse for
-// ReasonQuarantined or ReasonIsolated. A zero digest always runs. On Run the
-// request is in progress until Done or Died.
-func (g *Gate) Start(now time.Time, v *View, id string, digest uint64) dogwoodford.Verdict {
-	return dogwoodford.RunVerdict()
+// addDeath adds a death to the entries made from the earlier ones. A digest
+// that was the only suspect in progress is quarantined.
+func (s *Suspects) addDeath(entries map[uint64]Entry, d *death) {
+	var suspects []uint64
+	for _, g := range d.digests {
+		if !d.at.Before(entries[g].Until) {
+			// The suspicion had ended, so the earlier deaths do not count.
+			delete(entries, g)
+		}
+		if entries[g].Deaths > 0 && s.counts(d, g) {
+			suspects = append(suspects, g)
+		}
+	}
+	for _, g := range d.digests {
+		if !s.counts(d, g) {
+			continue
+		}
+		e := entries[g]
+		e.Digest, e.Service = g, d.service
+		e.Deaths++
+		e.Last, e.Until = d.at, d.at.Add(s.opt.Quarantine)
+		if len(suspects) == 1 && suspects[0] == g {
+			e.Standing = Quarantined
+		} else if e.Standing == Clean {
+			e.Standing = Suspected
+		}
+		entries[g] = e
+	}
 }
 
-// Done ends a request; completed tells that the target answered it. It reports
-// whether a suspect completed, which is then to be told as Completed.
-func (g *Gate) Done(id string, completed bool) (digest uint64, cleared bool) { return 0, false }
+// View returns the present suspects.
+func (s *Suspects) View() *View { return s.view }
 
-// Died ends all requests in progress at the death of the target and returns
-// their digests.
-func (g *Gate) Died(now time.Time, v *View) []InProgress { return nil }
+// Reports returns all reports that still count, for a Pull of the whole state.
+func (s *Suspects) Reports() []Report {
+	var out []Report
+	for _, d := range s.sortedDeaths() {
+		out = append(out, Report{Kind: Death, Digests: d.digests, Service: d.service, At: d.at, Death: d.id})
+	}
+	var digests []uint64
+	for d := range s.covered {
+		digests = append(digests, d)
+	}
+	slices.Sort(digests)
+	for _, d := range digests {
+		out = append(out, s.covered[d])
+	}
+	return out
+}
