Decide which generation of a contract is in force

Ruled out: the platform's text as the winner of a conflict, as nodes that cannot reach the platform would differ from the others; the greater hash wins everywhere instead. A report at the first sight of an older object, as a late answer looks the same; it is made when the watcher writes back.

--- a/core/version/dogconfig/config.go
+++ b/core/version/dogconfig/config.go
@@ -1,13 +1,22 @@
 package dogconfig
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
-	"dogwoodford"
+	"github.com/rotisserie/eris"
+
 	"dogwoodford/core/process/dogmember"
 )
 
+// ErrMismatch is reported for a text that contradicts the name or generation
+// under which it was received.
+var ErrMismatch = eris.New("text names another customer or generation")
+
 // Generation names one generation of a customer's contract. Generations are
 // ordered by Number, then by Hash. Updates carry it by value.
 type Generation struct {
@@ -27,6 +36,12 @@
 	return g.Number < o.Number || g.Number == o.Number && g.Hash < o.Hash
 }
 
+// HashText returns the hash of a text for Generation.
+func HashText(text []byte) uint64 {
+	sum := sha256.Sum256(text)
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
 // GenerationUpdate returns the update that carries g.
 func GenerationUpdate(g Generation) dogmember.Update {
 	return dogmember.Update{Key: "contract/" + g.Customer, Value: g}
@@ -59,28 +74,160 @@
 
 // Config holds the contracts in force at one node. It is not safe for
 // concurrent use.
-type Config[C any] struct{ opt Options[C] }
+type Config[C any] struct {
+	opt      Options[C]
+	snapshot map[string]Entry[C]
+	hash     uint64
+	rejected map[string]Generation // Latest rejected text per customer.
+	conflict map[string]Generation // Latest reported conflict per customer.
+	pulls    pulls
+	platform platform
+	acts     []Action
+}
+
+const defaultMaxCustomers = 4096
 
 // New returns a Config without contracts. It panics if Parse or Rand is nil.
-func New[C any](opt Options[C]) *Config[C] { return &Config[C]{opt: opt} }
+func New[C any](opt Options[C]) *Config[C] {
+	if opt.Parse == nil || opt.Rand == nil {
+		panic("dogconfig: options lack Parse or Rand")
+	}
+	if opt.MaxCustomers == 0 {
+		opt.MaxCustomers = defaultMaxCustomers
+	}
+	return &Config[C]{
+		opt:      opt,
+		snapshot: map[string]Entry[C]{},
+		rejected: map[string]Generation{},
+		conflict: map[string]Generation{},
+		pulls:    pulls{wanted: map[string]*wanted{}},
+		platform: platform{behind: map[string]*behind{}},
+	}
+}
 
 // OnEvent applies an event and returns what to do.
-func (c *Config[C]) OnEvent(now time.Time, ev Event) []Action { return nil }
+func (c *Config[C]) OnEvent(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case Tick:
+		c.tickPulls(now)
+		c.tickPlatform(now)
+	case WatcherChanged:
+		c.onWatcher(now, ev.Watcher)
+	case ObjectSeen:
+		c.onObject(now, ev.Object)
+	case Listed:
+		c.onListed(now, ev.Objects)
+	case GenerationHeard:
+		c.want(now, ev.Peer, ev.Generation)
+	case PeerDiffers:
+		c.onPeerDiffers(now, ev.Peer)
+	case PullAnswered:
+		c.onPullAnswered(now, ev)
+	case PullFailed:
+		c.onPullFailed(now, ev.Peer)
+	case WrittenBack:
+		c.onWrittenBack(now, ev)
+	}
+	acts := c.acts
+	c.acts = nil
+	return acts
+}
+
+func (c *Config[C]) act(a Action) { c.acts = append(c.acts, a) }
+
+// offer considers a text from a source. It returns the generation that the text
+// holds, and false if it was rejected.
+func (c *Config[C]) offer(now time.Time, customer, source string, text []byte) (Generation, bool) {
+	got := Generation{Customer: customer, Hash: HashText(text)}
+	have, known := c.snapshot[customer]
+	if known && have.Hash == got.Hash {
+		return have.Generation, true
+	}
+	if bad, ok := c.rejected[customer]; ok && bad.Hash == got.Hash {
+		return bad, false
+	}
+	parsed, err := c.opt.Parse(text)
+	got.Number = parsed.Generation
+	if err == nil && (parsed.Customer != customer || parsed.Generation < 1) {
+		err = ErrMismatch
+	}
+	switch {
+	case err != nil:
+		if _, ok := c.rejected[customer]; ok || len(c.rejected) < c.opt.MaxCustomers {
+			c.rejected[customer] = got
+		}
+		c.act(Report{Kind: Rejected, Customer: customer, Have: have.Generation, Got: got, Source: source, Err: err})
+		return got, false
+	case !known && len(c.snapshot) >= c.opt.MaxCustomers:
+		c.act(Report{Kind: Full, Customer: customer, Got: got, Source: source})
+		return got, false
+	}
+	if known && have.Number == got.Number {
+		c.reportConflict(have.Generation, got, source)
+	}
+	if known && !have.Less(got) {
+		return got, true
+	}
+	c.put(now, Entry[C]{Generation: got, Text: slices.Clone(text), Contract: parsed.Contract, Since: now})
+	return got, true
+}
+
+// put takes a generation into force. The map is copied, as snapshots are read
+// by other goroutines.
+func (c *Config[C]) put(now time.Time, e Entry[C]) {
+	next := make(map[string]Entry[C], len(c.snapshot)+1)
+	for k, v := range c.snapshot {
+		next[k] = v
+	}
+	if old, ok := next[e.Customer]; ok {
+		c.hash ^= mix(old.Generation)
+	}
+	c.hash ^= mix(e.Generation)
+	next[e.Customer] = e
+	c.snapshot = next
+	c.settled(e.Generation)
+	c.act(InForce{Generation: e.Generation})
+	c.raised(now, e.Generation)
+}
+
+// reportConflict reports each pair of texts once.
+func (c *Config[C]) reportConflict(have, got Generation, source string) {
+	if c.conflict[got.Customer] == got {
+		return
+	}
+	c.conflict[got.Customer] = got
+	c.act(Report{Kind: Conflict, Customer: got.Customer, Have: have, Got: got, Source: source})
+}
 
 // Snapshot returns the contracts in force by customer. It is a new map after
 // each InForce action and is never changed once returned.
-func (c *Config[C]) Snapshot() map[string]Entry[C] { return nil }
+func (c *Config[C]) Snapshot() map[string]Entry[C] { return c.snapshot }
 
 // Generations returns the generations in force by customer name, for a Pull of
 // the whole state.
-func (c *Config[C]) Generations() []Generation { return nil }
+func (c *Config[C]) Generations() []Generation {
+	out := make([]Generation, 0, len(c.snapshot))
+	for _, e := range c.snapshot {
+		out = append(out, e.Generation)
+	}
+	slices.SortFunc(out, func(a, b Generation) int { return strings.Compare(a.Customer, b.Customer) })
+	return out
+}
 
-// Texts returns the texts in force of the named customers, all if none is
-// named.
-func (c *Config[C]) Texts(customers []string) []Text { return nil }
+// Texts returns the texts in force of the named customers, leaving out unknown
+// ones.
+func (c *Config[C]) Texts(customers []string) []Text {
+	var out []Text
+	for _, name := range customers {
+		if e, ok := c.snapshot[name]; ok {
+			out = append(out, Text{Generation: e.Generation, Text: e.Text})
+		}
+	}
+	return out
+}
 
 // Hash returns the hash of all generations in force, 0 if there is none.
-func (c *Config[C]) Hash() uint64 { return 0 }
+func (c *Config[C]) Hash() uint64 { return c.hash }
 
 // Watchers returns the two watchers of a data centre, which are also the
 // keepers of its members object.
@@ -89,6 +236,18 @@
 }
 
 // ObjectName returns the name of the platform's object for a customer.
-func ObjectName(customer string) string { return "contract/" + customer }
-
-var _ dogwoodford.Object
+func ObjectName(customer string) string { return objectPrefix + customer }
+
+const objectPrefix = "contract/"
+
+// mix spreads a generation over 64 bits, so that the exclusive or over all
+// customers changes with each.
+func mix(g Generation) uint64 {
+	h := sha256.New()
+	h.Write([]byte(g.Customer))
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(g.Number))
+	binary.BigEndian.PutUint64(b[8:], g.Hash)
+	h.Write(b[:])
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
--- a/core/version/dogconfig/event.go
+++ b/core/version/dogconfig/event.go
@@ -100,16 +100,16 @@
 type ReportKind int
 
 const (
-	// Rejected: the text does not parse or contradicts its name; nothing
+	// Rejected means that the text does not parse or contradicts its name; nothing
 	// changes.
 	Rejected ReportKind = iota
-	// Stale: the platform holds a lower generation than the one in force.
+	// Stale means that the platform holds a lower generation than the one in force.
 	Stale
-	// Missing: the platform lost the contract.
+	// Missing means that the platform lost the contract.
 	Missing
-	// Conflict: two texts have the same generation.
+	// Conflict means that two texts have the same generation.
 	Conflict
-	// Full: the bound on customers is reached; the contract is ignored.
+	// Full means that the bound on customers is reached; the contract is ignored.
 	Full
 )
 
