Decide on membership and the spread of state

Ruled out: to act at once on a claim of failure by another node, as the halves of a healed cut claim each other's failure and would fail all live members; such a claim waits 15 s for a refutation. To repair missed updates by more sends, as a burst of 590 updates then fills the messages for minutes. To spread records that came by a pull, for the same reason.

Change: dogmember with probes, suspicion, refutation, urgent notices, partial hashes for exact repair, joining, the members object and drain marks.

--- a/core/process/dogmember/doc.go
+++ b/core/process/dogmember/doc.go
@@ -21,8 +21,8 @@
 // # Repair
 //
 // Updates are sent a bounded number of times, so that a node can miss one. Each
-// probe carries a hash of all records. Nodes whose hashes differ compare 64
-// partial hashes and exchange the differing records only. Failed members and
+// probe carries a hash of all records. Nodes whose hashes differ compare up to
+// 1,024 partial hashes and exchange the differing records only. Failed members and
 // seeds are probed at a low rate for Options.Forget, so that the halves of a
 // cut find each other without the platform.
 //
--- a/core/process/dogmember/event.go
+++ b/core/process/dogmember/event.go
@@ -40,7 +40,7 @@
 	PullArrived struct {
 		From  string
 		Self  *Member // Record of the caller, if it sent one.
-		Parts []uint64
+		Parts []uint32
 	}
 	// PullAnswered is the answer to a Pull action.
 	PullAnswered struct {
@@ -70,6 +70,7 @@
 	// SeedsRead is the result of a ReadSeeds action: the objects under
 	// "members/", or an error.
 	SeedsRead struct {
+		Prefix  string // As in the action.
 		Objects []dogwoodford.Object
 		Err     error
 	}
@@ -134,7 +135,7 @@
 	Pull struct {
 		Peer  string
 		Self  Member
-		Parts []uint64
+		Parts []uint32
 	}
 	// Deliver hands a received update of another package to the driver, with
 	// the node that told it.
--- a/core/process/dogmember/member.go
+++ b/core/process/dogmember/member.go
@@ -43,8 +43,8 @@
 	Contracts uint64 // Hash of the contract generations in force; 0 means not told.
 }
 
-// SummaryParts is the number of partial hashes in a Pull.
-const SummaryParts = 64
+// MaxParts is the largest number of partial hashes in a Pull.
+const MaxParts = 1024
 
 // Seed is a member named in the platform's members/<data-centre> object.
 type Seed struct {
--- a/core/process/dogmember/membership.go
+++ b/core/process/dogmember/membership.go
@@ -1,6 +1,9 @@
 package dogmember
 
 import (
+	"slices"
+	"sort"
+	"strings"
 	"time"
 
 	"dogwoodford"
@@ -8,32 +11,219 @@
 
 // Membership is the membership as one node knows it. It is not safe for
 // concurrent use.
-type Membership struct{ opt Options }
+type Membership struct {
+	opt     Options
+	self    *entry
+	entries map[string]*entry
+	present []*entry          // Held for present, this node excluded, in no order.
+	pending map[string]*entry // With failAt set.
+	summary uint64
+
+	contracts uint64
+	members   *queue // Member records.
+	others    *queue // Updates of other packages.
+	urgent    []Update
+	tokens    float64 // Notify messages that may be sent now.
+	tokensAt  time.Time
+
+	probing probing
+	syncing syncing
+	keeping keeping
+
+	refuteAt  time.Time // Earliest next refutation.
+	refuteDue uint64    // Incarnation to exceed then; 0 if none.
+	purgeAt   time.Time
+	marks     map[string]DrainMark
+	refresh   time.Time // When Targets changes next because a member ended.
+
+	bulk    bool // The answer to a pull is being merged.
+	changed bool
+	acts    []Action
+	counts  Counts
+}
 
 // New returns a membership that knows only the node itself, in state Starting.
 // It panics if Rand or Size is nil or Self has no name.
-func New(now time.Time, opt Options) *Membership { return &Membership{opt: opt.withDefaults()} }
+func New(now time.Time, opt Options) *Membership {
+	opt = opt.withDefaults()
+	if opt.Rand == nil || opt.Size == nil || opt.Self.Node == "" {
+		panic("dogmember: options lack Rand, Size or the name of the node")
+	}
+	m := &Membership{
+		opt:      opt,
+		entries:  map[string]*entry{},
+		pending:  map[string]*entry{},
+		members:  newQueue(opt.Size, opt.QueueLimit),
+		others:   newQueue(opt.Size, opt.QueueLimit),
+		marks:    map[string]DrainMark{},
+		tokens:   float64(opt.UrgentBurst),
+		tokensAt: now,
+		purgeAt:  now.Add(time.Minute),
+	}
+	rec := opt.Self
+	rec.State, rec.Suspected = dogwoodford.Starting, false
+	m.self = m.insert(rec)
+	m.initProbing(now)
+	m.initSyncing(now)
+	m.initKeeping(now)
+	return m
+}
 
 // OnEvent applies an event and returns what to do.
-func (m *Membership) OnEvent(now time.Time, ev Event) []Action { return nil }
+func (m *Membership) OnEvent(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case Tick:
+		m.tick(now)
+	case ProbeArrived:
+		m.onProbeArrived(now, ev)
+	case ProbeAnswered:
+		m.onProbeAnswered(now, ev)
+	case ProbeFailed:
+		m.onProbeFailed(now, ev.ID)
+	case ProbeViaAnswered:
+		m.onViaAnswered(now, ev)
+	case NotifyArrived:
+		m.receive(now, ev.From, ev.Message.Updates)
+	case PullArrived:
+		m.onPullArrived(now, ev)
+	case PullAnswered:
+		m.onPullAnswered(now, ev)
+	case PullFailed:
+		m.onPullFailed(now, ev.Peer)
+	case SelfChanged:
+		m.onSelfChanged(now, ev)
+	case Publish:
+		m.publish(ev.Update, ev.Urgent)
+	case ContractsChanged:
+		m.contracts = ev.Hash
+	case MarkSeen:
+		m.onMark(now, ev)
+	case SeedsRead:
+		m.onSeedsRead(now, ev)
+	case SeedsWritten:
+		m.onSeedsWritten(now, ev)
+	}
+	if m.changed {
+		m.changed = false
+		m.act(Changed{})
+	}
+	acts := m.acts
+	m.acts = nil
+	return acts
+}
+
+func (m *Membership) act(a Action) { m.acts = append(m.acts, a) }
+
+func (m *Membership) tick(now time.Time) {
+	m.expire(now)
+	if m.refuteDue != 0 && !now.Before(m.refuteAt) {
+		m.refute(now, m.refuteDue)
+	}
+	m.tickProbing(now)
+	m.tickSyncing(now)
+	m.tickKeeping(now)
+	m.flushUrgent(now)
+	if !m.refresh.IsZero() && !now.Before(m.refresh) {
+		m.refresh = time.Time{}
+		m.changed = true
+	}
+	if !now.Before(m.purgeAt) {
+		m.purgeAt = now.Add(time.Minute)
+		m.purge(now)
+	}
+}
 
 // Self returns the record of this node.
-func (m *Membership) Self() Member { return Member{} }
+func (m *Membership) Self() Member { return m.self.rec }
 
 // Members returns the records of all known nodes by name, ended ones included,
 // with the state as this node acts on it.
-func (m *Membership) Members() []Member { return nil }
+func (m *Membership) Members() []Member {
+	out := make([]Member, 0, len(m.entries))
+	for _, e := range m.entries {
+		out = append(out, e.acted())
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Node, b.Node) })
+	return out
+}
 
 // Member returns the record of a node.
-func (m *Membership) Member(node string) (Member, bool) { return Member{}, false }
+func (m *Membership) Member(node string) (Member, bool) {
+	e := m.entries[node]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.acted(), true
+}
+
+func (e *entry) acted() Member {
+	rec := e.rec
+	if rec.State == dogwoodford.Failed && e.endedAt.IsZero() {
+		rec.Suspected = true
+	}
+	rec.State = e.held
+	return rec
+}
 
 // Targets returns the targets by service, by node name. A target that ended
 // stays for 30 s, with Seen at its end. For present ones Seen is now.
-func (m *Membership) Targets(now time.Time) map[string][]dogwoodford.Target { return nil }
+func (m *Membership) Targets(now time.Time) map[string][]dogwoodford.Target {
+	out := map[string][]dogwoodford.Target{}
+	for _, e := range m.entries {
+		seen := now
+		if !e.endedAt.IsZero() {
+			if now.Sub(e.endedAt) >= memberTTL {
+				continue
+			}
+			seen = e.endedAt
+		}
+		out[e.rec.Service] = append(out[e.rec.Service], dogwoodford.Target{
+			Node:       e.rec.Node,
+			Service:    e.rec.Service,
+			DataCentre: e.rec.DataCentre,
+			Peer:       e.rec.Peer,
+			State:      e.held,
+			Slots:      e.rec.Slots,
+			Since:      e.since,
+			Seen:       seen,
+		})
+	}
+	for _, ts := range out {
+		sort.Slice(ts, func(i, j int) bool { return ts[i].Node < ts[j].Node })
+	}
+	return out
+}
 
 // Status returns a description for operators.
-func (m *Membership) Status() Status { return Status{} }
+func (m *Membership) Status() Status {
+	s := Status{
+		Self:   m.self.rec,
+		Alive:  len(m.present) + 1,
+		Queued: m.members.len() + m.others.len(),
+		Joined: m.syncing.joined,
+		Keeper: m.keeping.told,
+		Counts: m.counts,
+	}
+	for _, e := range m.entries {
+		if e.held == dogwoodford.Failed {
+			s.Failed++
+		}
+		if e.acted().Suspected {
+			s.Suspect++
+		}
+	}
+	return s
+}
 
 // Keepers returns the names of the two keepers and watchers of a data centre:
 // the lowest names, in byte order, of its ready members.
-func Keepers(members []Member, dataCentre string) []string { return nil }
+func Keepers(members []Member, dataCentre string) []string {
+	var names []string
+	for _, m := range members {
+		if m.DataCentre == dataCentre && m.State == dogwoodford.Ready {
+			names = append(names, m.Node)
+		}
+	}
+	slices.Sort(names)
+	return names[:min(2, len(names))]
+}
--- a/core/process/dogmember/options.go
+++ b/core/process/dogmember/options.go
@@ -21,7 +21,7 @@
 	ProbeTimeout   time.Duration // Wait for a direct answer, and for an indirect one; 500 ms.
 	SuspectTimeout time.Duration // Suspicion before failure; 4 s.
 	HearsayTimeout time.Duration // Wait after a claim of failure by others; 15 s.
-	FailedEvery    time.Duration // Time between probes of a failed member; 10 s.
+	FailedEvery    time.Duration // Time between probes of failed members, one at a time; 10 s.
 	SeedEvery      time.Duration // Time between probes of a seed that is not a present member; 30 s.
 	Forget         time.Duration // Time after which ended members are forgotten; 12 h.
 	SyncEvery      time.Duration // Least time between pulls after differing hashes; 2 s.
@@ -29,8 +29,10 @@
 	CheckEvery     time.Duration // Time between reads of an unchanged members object; 60 s.
 	Indirect       int           // Nodes asked to probe on a miss; 3.
 	UrgentFanout   int           // Peers told of an urgent update; 3.
-	UrgentRate     int           // Notify messages a second, and their burst is four times that; 6.
-	MessageBytes   int           // Bytes of updates per message; 1,200.
+	UrgentRate     int           // Notify messages a second, on average; 1.
+	UrgentBurst    int           // Notify messages at once; 12.
+	SyncRate       int           // Bytes a second that pulls after differing hashes may bring, on average; 4,000.
+	MessageBytes   int           // Bytes of updates per message; 600.
 	QueueLimit     int           // Updates that wait to be sent; 4,096.
 }
 
@@ -47,8 +49,10 @@
 	setDuration(&o.CheckEvery, 60*time.Second)
 	setInt(&o.Indirect, 3)
 	setInt(&o.UrgentFanout, 3)
-	setInt(&o.UrgentRate, 6)
-	setInt(&o.MessageBytes, 1200)
+	setInt(&o.UrgentRate, 1)
+	setInt(&o.UrgentBurst, 12)
+	setInt(&o.SyncRate, 4000)
+	setInt(&o.MessageBytes, 600)
 	setInt(&o.QueueLimit, 4096)
 	return o
 }
--- /dev/null
+++ b/core/process/dogmember/script_test.go
@@ -0,0 +1,233 @@
+package dogmember_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogmember"
+)
+
+var update = flag.Bool("update", false, "write the results into the scripts")
+
+// TestScripts runs the scripts in testdata against the membership of node "n1".
+// Each says in its comment which failure it guards against. The file "script"
+// holds one command per line, the file "want" the commands with their results.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
+			ar, err := txtar.ParseFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &script{now: time.UnixMilli(1_000_000)}
+			for line := range strings.Lines(string(ar.Files[0].Data)) {
+				s.out.WriteString("> " + line)
+				s.run(t, strings.Fields(line))
+			}
+			if *update {
+				ar.Files = append(ar.Files[:1], txtar.File{Name: "want", Data: []byte(s.out.String())})
+				if err := os.WriteFile(path, txtar.Format(ar), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if diff := cmp.Diff(string(ar.Files[1].Data), s.out.String()); diff != "" {
+				t.Errorf("results differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+type script struct {
+	now  time.Time
+	m    *dogmember.Membership
+	last uint64   // ID of the last Probe.
+	acks []string // Peers that answer probes at once.
+	out  strings.Builder
+}
+
+func record(name string, incarnation uint64, state dogwoodford.State) dogmember.Member {
+	return dogmember.Member{
+		Node: name, Incarnation: incarnation, Service: "rounds", DataCentre: "midrand", Peer: name + ":1", State: state,
+	}
+}
+
+func show(m dogmember.Member) string {
+	s := fmt.Sprintf("%s/%d:%v", m.Node, m.Incarnation, m.State)
+	if m.Suspected {
+		s += "?"
+	}
+	return s
+}
+
+func showUpdates(us []dogmember.Update) string {
+	var out []string
+	for _, u := range us {
+		if m, ok := u.Value.(dogmember.Member); ok {
+			out = append(out, show(m))
+		} else {
+			out = append(out, u.Key)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func (s *script) event(ev dogmember.Event) {
+	for _, a := range s.m.OnEvent(s.now, ev) {
+		at := s.now.Sub(time.UnixMilli(1_000_000))
+		switch a := a.(type) {
+		case dogmember.Probe:
+			s.last = a.ID
+			if slices.Contains(s.acks, a.Peer) {
+				s.event(dogmember.ProbeAnswered{ID: a.ID})
+				continue
+			}
+			fmt.Fprintf(&s.out, "  %v probe %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
+		case dogmember.ProbeVia:
+			fmt.Fprintf(&s.out, "  %v probe %s via %s\n", at, a.Peer, a.Via)
+		case dogmember.Notify:
+			fmt.Fprintf(&s.out, "  %v notify %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
+		case dogmember.Reply:
+			fmt.Fprintf(&s.out, "  reply %s\n", showUpdates(a.Message.Updates))
+		case dogmember.PullReply:
+			fmt.Fprintf(&s.out, "  pull reply all=%v %s\n", a.All, showUpdates(a.Updates))
+		case dogmember.Pull:
+			fmt.Fprintf(&s.out, "  %v pull %s, %d parts\n", at, a.Peer, len(a.Parts))
+		case dogmember.MemberFailed:
+			fmt.Fprintf(&s.out, "  %v failed %s\n", at, a.Member.Node)
+		case dogmember.WriteSeeds:
+			fmt.Fprintf(&s.out, "  %v write %s expecting %d: %s\n", at, a.Name, a.Expected, a.Value)
+		case dogmember.Changed:
+		default:
+			fmt.Fprintf(&s.out, "  %v %T %v\n", at, a, a)
+		}
+	}
+}
+
+var states = map[string]dogwoodford.State{
+	"starting": dogwoodford.Starting, "ready": dogwoodford.Ready, "draining": dogwoodford.Draining,
+	"left": dogwoodford.Left, "failed": dogwoodford.Failed, "suspected": dogwoodford.Ready,
+}
+
+// members reads words of the form node/incarnation:state.
+func members(words []string) []dogmember.Update {
+	var out []dogmember.Update
+	for _, w := range words {
+		name, rest, _ := strings.Cut(w, "/")
+		inc, state, _ := strings.Cut(rest, ":")
+		n, err := strconv.ParseUint(inc, 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		m := record(name, n, states[state])
+		m.Suspected = state == "suspected"
+		out = append(out, dogmember.MemberUpdate(m))
+	}
+	return out
+}
+
+// run executes one command: new [platform] [SEED...]; acks PEER...; wait D; heard MEMBER...;
+// probed FROM MEMBER...; answer MEMBER... (to the last probe); miss; via
+// true|false; pulled MEMBER...; nopull PEER; self STATE; mark NODE MILLIS; seeds
+// PREFIX VERSION NODE...; seeds PREFIX error; wrote ok|conflict; members; targets.
+func (s *script) run(t *testing.T, w []string) {
+	t.Helper()
+	switch w[0] {
+	case "new":
+		opt := dogmember.Options{
+			Self: record("n1", 1_000_000, dogwoodford.Starting), Rand: rand.New(rand.NewPCG(1, 1)),
+			Size: func(dogmember.Update) int { return 60 },
+		}
+		for _, x := range w[1:] {
+			if x == "platform" {
+				opt.Platform = true
+				continue
+			}
+			opt.Seeds = append(opt.Seeds, x)
+		}
+		s.m = dogmember.New(s.now, opt)
+	case "acks":
+		s.acks = w[1:]
+	case "wait":
+		d, err := time.ParseDuration(w[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range d / (100 * time.Millisecond) {
+			s.now = s.now.Add(100 * time.Millisecond)
+			s.event(dogmember.Tick{})
+		}
+	case "heard":
+		s.event(dogmember.NotifyArrived{From: "x", Message: dogmember.Message{Updates: members(w[1:])}})
+	case "probed":
+		s.event(dogmember.ProbeArrived{From: w[1], Message: dogmember.Message{Updates: members(w[2:])}})
+	case "answer":
+		s.event(dogmember.ProbeAnswered{ID: s.last, Message: dogmember.Message{Updates: members(w[1:]), Summary: 1}})
+	case "miss":
+		s.event(dogmember.ProbeFailed{ID: s.last})
+	case "via":
+		s.event(dogmember.ProbeViaAnswered{ID: s.last, Alive: w[1] == "true"})
+	case "pulled":
+		s.event(dogmember.PullAnswered{Peer: w[1], Updates: members(w[2:])})
+	case "nopull":
+		s.event(dogmember.PullFailed{Peer: w[1]})
+	case "self":
+		s.event(dogmember.SelfChanged{State: states[w[1]], Slots: 45})
+	case "mark":
+		n, _ := strconv.ParseInt(w[2], 10, 64)
+		s.event(dogmember.MarkSeen{Node: w[1], Mark: dogmember.DrainMark{AtMillis: n}})
+	case "seeds":
+		s.event(seedsRead(w[1:]))
+	case "wrote":
+		ev := dogmember.SeedsWritten{}
+		if w[1] != "ok" {
+			ev.Err = dogwoodford.ErrConflict
+		}
+		s.event(ev)
+	case "members":
+		for _, m := range s.m.Members() {
+			s.out.WriteString("  " + show(m) + "\n")
+		}
+	case "targets":
+		for _, x := range s.m.Targets(s.now)["rounds"] {
+			fmt.Fprintf(&s.out, "  %s %v seen %v ago\n", x.Node, x.State, s.now.Sub(x.Seen))
+		}
+	default:
+		t.Fatalf("unknown command %q", w[0])
+	}
+}
+
+func seedsRead(w []string) dogmember.SeedsRead {
+	ev := dogmember.SeedsRead{Prefix: w[0]}
+	if len(w) > 1 && w[1] == "error" {
+		ev.Err = dogwoodford.ErrUnavailable
+		return ev
+	}
+	if len(w) > 1 {
+		v, _ := strconv.ParseInt(w[1], 10, 64)
+		var seeds []string
+		for _, name := range w[2:] {
+			seeds = append(seeds, fmt.Sprintf(`{"node":%q,"peer":"%s:1"}`, name, name))
+		}
+		ev.Objects = []dogwoodford.Object{{
+			Name: "members/midrand", Version: v, Value: []byte("[" + strings.Join(seeds, ",") + "]"),
+		}}
+	}
+	return ev
+}
