Add the client of the object service

Ruled out: retries of writes, as a write whose answer was lost may have taken effect. A watch as the trial of an open circuit, as it may wait for 30 s.

Change: dogplatform.Client with deadlines, jittered retries of reads, a bound on calls at once, a circuit breaker whose rate grows with each success, and counters.

--- a/io/process/dogplatform/client.go
+++ b/io/process/dogplatform/client.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
-
-	"dogwoodford"
 )
 
 // Options configure a Client. Zero values take the defaults in the comments.
@@ -21,6 +22,7 @@
 	PauseMin   time.Duration     // First pause between attempts and trials; 100 ms.
 	PauseMax   time.Duration     // Longest pause between trials; 10 s.
 	OpenAfter  int               // Failures in a row that open the circuit; 4.
+	Ramp       int               // Successes after an outage until the rate of calls is free again; 8.
 }
 
 // Counts are totals since the start, for metrics.
@@ -34,40 +36,112 @@
 	InProgress int64 // Calls that run now.
 }
 
+type counters struct {
+	calls, failures, retries, conflicts, rejected, opened, inProgress atomic.Int64
+}
+
 // Client is a client of the object service. It is safe for concurrent use.
-type Client struct{}
+type Client struct {
+	opt   Options
+	http  *http.Client
+	slots chan struct{}
+	counters
 
-var _ dogwoodford.Platform = (*Client)(nil)
+	mu      sync.Mutex // Guards the circuit and opt.Rand.
+	circuit circuit
+}
 
 // New returns a client. It panics if Address is empty or Rand is nil.
-func New(opt Options) *Client { return &Client{} }
-
-// Get returns the object, or ErrNotFound.
-func (c *Client) Get(ctx context.Context, name string) (dogwoodford.Object, error) {
-	return dogwoodford.Object{}, nil
+func New(opt Options) *Client {
+	if opt.Address == "" || opt.Rand == nil {
+		panic("dogplatform: options lack Address or Rand")
+	}
+	opt = opt.withDefaults()
+	if opt.Transport == nil {
+		opt.Transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: opt.Timeout}).DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: opt.Concurrent + 2,
+			MaxConnsPerHost:     2*opt.Concurrent + 4,
+			IdleConnTimeout:     90 * time.Second,
+		}
+	}
+	return &Client{
+		opt: opt,
+		http: &http.Client{
+			Transport:     opt.Transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		slots: make(chan struct{}, opt.Concurrent),
+	}
 }
 
-// List returns the objects whose names start with prefix, by name.
-func (c *Client) List(ctx context.Context, prefix string) ([]dogwoodford.Object, error) {
-	return nil, nil
+func (o Options) withDefaults() Options {
+	durations := []struct {
+		d *time.Duration
+		v time.Duration
+	}{
+		{&o.Timeout, 2 * time.Second},
+		{&o.WatchWait, 40 * time.Second},
+		{&o.PauseMin, 100 * time.Millisecond},
+		{&o.PauseMax, 10 * time.Second},
+	}
+	for _, x := range durations {
+		if *x.d == 0 {
+			*x.d = x.v
+		}
+	}
+	counts := []struct {
+		n *int
+		v int
+	}{{&o.Concurrent, 4}, {&o.Attempts, 3}, {&o.OpenAfter, 4}, {&o.Ramp, 8}}
+	for _, x := range counts {
+		if *x.n == 0 {
+			*x.n = x.v
+		}
+	}
+	return o
 }
 
-// Put implements dogwoodford.Platform.
-func (c *Client) Put(ctx context.Context, name string, expected int64, value []byte) (int64, error) {
-	return 0, nil
+// Counts returns totals since the start.
+func (c *Client) Counts() Counts {
+	return Counts{
+		Calls:      c.calls.Load(),
+		Failures:   c.failures.Load(),
+		Retries:    c.retries.Load(),
+		Conflicts:  c.conflicts.Load(),
+		Rejected:   c.rejected.Load(),
+		Opened:     c.opened.Load(),
+		InProgress: c.inProgress.Load(),
+	}
 }
 
-// Delete removes the object if it has the expected version. A deletion whose
-// answer was lost gives ErrUnavailable.
-func (c *Client) Delete(ctx context.Context, name string, expected int64) error { return nil }
+// Open reports whether the circuit is open.
+func (c *Client) Open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.circuit.open
+}
 
-// Watch implements dogwoodford.Platform.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]dogwoodford.Object, int64, error) {
-	return nil, 0, nil
+// jitter returns a random duration in [d/2, 3d/2).
+func (c *Client) jitter(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return jitter(c.opt.Rand, d)
 }
 
-// Counts returns totals since the start.
-func (c *Client) Counts() Counts { return Counts{} }
+func jitter(rnd *rand.Rand, d time.Duration) time.Duration {
+	return d/2 + time.Duration(rnd.Int64N(int64(d)))
+}
 
-// Open reports whether the circuit is open.
-func (c *Client) Open() bool { return false }
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
