Carry messages between nodes

Cause: the decision packages need a transport that checks what it receives.

Ruled out: checks in interceptors, as these run after the message was read; the key and the bound on calls are checked before. HTTP/2 to peers, as a node of a large fleet meets the same peer again only after minutes.

--- a/io/process/dogpeer/client.go
+++ b/io/process/dogpeer/client.go
@@ -2,9 +2,25 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
 	"dogwoodford/core/process/dogmember"
+	"dogwoodford/io/process/dogpeer/peerpb"
+	"dogwoodford/io/process/dogpeer/peerpb/peerpbconnect"
+)
+
+const (
+	defaultTimeout    = 2 * time.Second
+	defaultConcurrent = 256
+	// idleTimeout closes connections before the peer's server does. A node
+	// probes the same peer of a large fleet again only after minutes.
+	idleTimeout = 30 * time.Second
 )
 
 // ClientOptions configure a Client. Zero values take the defaults in the
@@ -19,39 +35,156 @@
 }
 
 // Client calls the Peer service of other nodes. It is safe for concurrent use.
-type Client struct{}
+type Client struct {
+	opt       ClientOptions
+	transport *http.Transport
+	http      *http.Client
+	slots     chan struct{}
+	counters
+}
 
 // NewClient returns a client. It panics if the key or the node is empty.
-func NewClient(opt ClientOptions) *Client { return &Client{} }
+func NewClient(opt ClientOptions) *Client {
+	if opt.Key == "" || opt.Node == "" {
+		panic("dogpeer: the peer key or the name of the node is empty")
+	}
+	if opt.Timeout == 0 {
+		opt.Timeout = defaultTimeout
+	}
+	if opt.Concurrent == 0 {
+		opt.Concurrent = defaultConcurrent
+	}
+	if opt.ReadBytes == 0 {
+		opt.ReadBytes = 4 << 20
+	}
+	if opt.IdleConns == 0 {
+		opt.IdleConns = 64
+	}
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: opt.Timeout}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConns:        opt.IdleConns,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{
+		opt:       opt,
+		transport: t,
+		http: &http.Client{
+			Transport: t,
+			// A redirect would carry the key elsewhere.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		slots: make(chan struct{}, opt.Concurrent),
+	}
+}
+
+// call makes one call within the bounds on time and on calls at once.
+func call[Req, Resp any](
+	ctx context.Context, c *Client, peer string, req *Req,
+	method func(peerpbconnect.PeerClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
+) (*Resp, error) {
+	c.calls.Add(1)
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	default:
+		c.refused.Add(1)
+		return nil, errBusy
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opt.Timeout)
+	defer cancel()
+	client := peerpbconnect.NewPeerClient(c.http, "http://"+peer,
+		connect.WithReadMaxBytes(c.opt.ReadBytes),
+		connect.WithAcceptCompression("gzip", nil, nil))
+	r := connect.NewRequest(req)
+	r.Header().Set(keyHeader, c.opt.Key)
+	resp, err := method(client, ctx, r)
+	if msg, ok := any(req).(proto.Message); ok {
+		c.sent.Add(int64(proto.Size(msg)))
+	}
+	if err != nil {
+		c.failures.Add(1)
+		return nil, err
+	}
+	if msg, ok := any(resp.Msg).(proto.Message); ok {
+		c.read.Add(int64(proto.Size(msg)))
+	}
+	return resp.Msg, nil
+}
 
 // Probe exchanges updates with a peer.
 func (c *Client) Probe(ctx context.Context, peer string, m dogmember.Message) (dogmember.Message, error) {
-	return dogmember.Message{}, nil
+	resp, err := call(ctx, c, peer, EncodeProbe(c.opt.Node, m), peerpbconnect.PeerClient.Probe)
+	var out dogmember.Message
+	if err == nil {
+		out, err = DecodeProbeAnswer(resp)
+	}
+	if err != nil {
+		return dogmember.Message{}, fmt.Errorf("probe %s: %w", peer, err)
+	}
+	return out, nil
 }
 
 // ProbeVia asks the node at via to probe peer.
-func (c *Client) ProbeVia(ctx context.Context, via, peer string) (bool, error) { return false, nil }
+func (c *Client) ProbeVia(ctx context.Context, via, peer string) (bool, error) {
+	req := &peerpb.ProbeViaRequest{From: c.opt.Node, Peer: peer}
+	resp, err := call(ctx, c, via, req, peerpbconnect.PeerClient.ProbeVia)
+	if err != nil {
+		return false, fmt.Errorf("probe %s via %s: %w", peer, via, err)
+	}
+	return resp.GetAlive(), nil
+}
 
 // Notify delivers updates.
-func (c *Client) Notify(ctx context.Context, peer string, m dogmember.Message) error { return nil }
+func (c *Client) Notify(ctx context.Context, peer string, m dogmember.Message) error {
+	if _, err := call(ctx, c, peer, EncodeNotify(c.opt.Node, m), peerpbconnect.PeerClient.Notify); err != nil {
+		return fmt.Errorf("notify %s: %w", peer, err)
+	}
+	return nil
+}
 
 // Pull asks for state.
 func (c *Client) Pull(ctx context.Context, peer string, req PullRequest) (PullResponse, error) {
-	return PullResponse{}, nil
+	resp, err := call(ctx, c, peer, EncodePull(c.opt.Node, req), peerpbconnect.PeerClient.Pull)
+	var out PullResponse
+	if err == nil {
+		out, err = DecodePullAnswer(resp)
+	}
+	if err != nil {
+		return PullResponse{}, fmt.Errorf("pull from %s: %w", peer, err)
+	}
+	return out, nil
 }
 
 // Promise asks a witness for a promise.
 func (c *Client) Promise(ctx context.Context, peer string, p Promise) (Grant, error) {
-	return Grant{}, nil
+	resp, err := call(ctx, c, peer, encodePromise(p), peerpbconnect.PeerClient.Promise)
+	var g Grant
+	if err == nil {
+		g, err = decodeGrant(resp.GetGranted(), resp.GetRefusal())
+	}
+	if err != nil {
+		return Grant{}, fmt.Errorf("promise of %s: %w", peer, err)
+	}
+	return g, nil
 }
 
 // HandOver sends records to the next owner of a range.
 func (c *Client) HandOver(ctx context.Context, peer string, h HandOver) (Grant, error) {
-	return Grant{}, nil
+	resp, err := call(ctx, c, peer, encodeHandOver(h), peerpbconnect.PeerClient.HandOver)
+	var g Grant
+	if err == nil {
+		g, err = decodeGrant(resp.GetAccepted(), resp.GetRefusal())
+	}
+	if err != nil {
+		return Grant{}, fmt.Errorf("hand over to %s: %w", peer, err)
+	}
+	return g, nil
 }
 
 // Counts returns totals since the start.
-func (c *Client) Counts() Counts { return Counts{} }
+func (c *Client) Counts() Counts { return c.counts() }
 
 // Close closes idle connections.
-func (c *Client) Close() {}
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- a/io/process/dogpeer/convert.go
+++ b/io/process/dogpeer/convert.go
@@ -1,22 +1,264 @@
 package dogpeer
 
 import (
+	"fmt"
+	"net/netip"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
+	"dogwoodford"
 	"dogwoodford/core/process/dogmember"
+	"dogwoodford/core/process/dogsuspect"
+	"dogwoodford/core/version/dogconfig"
 	"dogwoodford/io/process/dogpeer/peerpb"
 )
 
 // ErrMalformed is returned for a message that fails validation.
 var ErrMalformed = eris.New("malformed peer message")
 
+// Bounds on what is received.
+const (
+	maxName    = 128
+	maxUpdates = 1 << 16
+	maxSlots   = 1 << 20
+	// maxMillis is the end of the year 2199. Times beyond it could overflow
+	// sums.
+	maxMillis = 7258118399999
+)
+
+func malformed(format string, args ...any) error {
+	return fmt.Errorf(format+": %w", append(args, ErrMalformed)...)
+}
+
+func checkName(what, s string) error {
+	if s == "" || len(s) > maxName || !utf8.ValidString(s) {
+		return malformed("%s is empty, longer than %d bytes or not UTF-8", what, maxName)
+	}
+	for _, r := range s {
+		if !unicode.IsPrint(r) {
+			return malformed("%s holds a character that is not printable", what)
+		}
+	}
+	return nil
+}
+
+func checkPeer(s string) error {
+	ap, err := netip.ParseAddrPort(s)
+	if err != nil || ap.Port() == 0 {
+		return malformed("peer is not an IP address and port")
+	}
+	return nil
+}
+
+func checkRange(number int32) error {
+	if number < 0 || number >= dogwoodford.KeyRanges {
+		return malformed("range number %d", number)
+	}
+	return nil
+}
+
+// decodeTime converts milliseconds; zero gives the zero time.
+func decodeTime(what string, ms int64) (time.Time, error) {
+	if ms < 0 || ms > maxMillis {
+		return time.Time{}, malformed("%s out of range", what)
+	}
+	if ms == 0 {
+		return time.Time{}, nil
+	}
+	return time.UnixMilli(ms), nil
+}
+
+func encodeTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// firstError returns the first error that is not nil.
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // EncodeUpdate returns the message of an update. It panics if the value is of
 // a type that no update carries.
-func EncodeUpdate(u dogmember.Update) *peerpb.Update { return nil }
+func EncodeUpdate(u dogmember.Update) *peerpb.Update {
+	switch v := u.Value.(type) {
+	case dogmember.Member:
+		return &peerpb.Update{Kind: &peerpb.Update_Member{Member: encodeMember(v)}}
+	case dogconfig.Generation:
+		c := &peerpb.Contract{Customer: v.Customer, Generation: v.Number, Hash: v.Hash}
+		return &peerpb.Update{Kind: &peerpb.Update_Contract{Contract: c}}
+	case Range:
+		return &peerpb.Update{Kind: &peerpb.Update_Range{Range: encodeRange(v)}}
+	case dogsuspect.Report:
+		return &peerpb.Update{Kind: &peerpb.Update_Suspect{Suspect: encodeSuspect(v)}}
+	}
+	panic(fmt.Sprintf("dogpeer: update of type %T", u.Value))
+}
 
 // DecodeUpdate validates and returns an update.
-func DecodeUpdate(p *peerpb.Update) (dogmember.Update, error) { return dogmember.Update{}, nil }
+func DecodeUpdate(p *peerpb.Update) (dogmember.Update, error) {
+	switch k := p.GetKind().(type) {
+	case *peerpb.Update_Member:
+		m, err := decodeMember(k.Member)
+		return dogmember.MemberUpdate(m), err
+	case *peerpb.Update_Contract:
+		g, err := decodeGeneration(k.Contract)
+		if err == nil && len(k.Contract.GetText()) > 0 {
+			err = malformed("update carries the text of a contract")
+		}
+		return dogconfig.GenerationUpdate(g), err
+	case *peerpb.Update_Range:
+		r, err := decodeRange(k.Range)
+		return RangeUpdate(r), err
+	case *peerpb.Update_Suspect:
+		r, err := decodeSuspect(k.Suspect)
+		return dogsuspect.ReportUpdate(r), err
+	}
+	return dogmember.Update{}, malformed("update is empty or of an unknown kind")
+}
 
 // UpdateSize returns the encoded size of an update in a message, 0 if it fails
 // validation. It is the Size of dogmember.Options.
-func UpdateSize(u dogmember.Update) int { return 0 }
+func UpdateSize(u dogmember.Update) int {
+	p := EncodeUpdate(u)
+	if _, err := DecodeUpdate(p); err != nil {
+		return 0
+	}
+	n := proto.Size(p)
+	// The tag of the field and the length, up to three bytes for what a
+	// message can hold.
+	return n + 1 + len3(n)
+}
+
+func len3(n int) int {
+	switch {
+	case n < 1<<7:
+		return 1
+	case n < 1<<14:
+		return 2
+	}
+	return 3
+}
+
+func encodeMember(m dogmember.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Node:        m.Node,
+		Incarnation: m.Incarnation,
+		Service:     m.Service,
+		DataCentre:  m.DataCentre,
+		Peer:        m.Peer,
+		State:       int32(m.State),
+		Slots:       int32(m.Slots),
+		Suspected:   m.Suspected,
+	}
+}
+
+func decodeMember(p *peerpb.Member) (dogmember.Member, error) {
+	m := dogmember.Member{
+		Node:        p.GetNode(),
+		Incarnation: p.GetIncarnation(),
+		Service:     p.GetService(),
+		DataCentre:  p.GetDataCentre(),
+		Peer:        p.GetPeer(),
+		State:       dogwoodford.State(p.GetState()),
+		Slots:       int(p.GetSlots()),
+		Suspected:   p.GetSuspected(),
+	}
+	err := firstError(
+		checkName("node", m.Node),
+		checkName("service", m.Service),
+		checkName("data centre", m.DataCentre),
+		checkPeer(m.Peer),
+	)
+	switch {
+	case err != nil:
+	case m.State < dogwoodford.Starting || m.State > dogwoodford.Failed:
+		err = malformed("state %d", m.State)
+	case m.Suspected && !m.Present():
+		err = malformed("suspicion of a member that ended")
+	case m.Incarnation == 0 || m.Incarnation > maxMillis:
+		// The bound keeps a hostile or broken value from exhausting the
+		// numbers with which the member could refute.
+		err = malformed("incarnation %d", m.Incarnation)
+	case m.Slots < 0 || m.Slots > maxSlots:
+		err = malformed("slots %d", m.Slots)
+	}
+	if err != nil {
+		return dogmember.Member{}, fmt.Errorf("member: %w", err)
+	}
+	return m, nil
+}
+
+func decodeGeneration(p *peerpb.Contract) (dogconfig.Generation, error) {
+	g := dogconfig.Generation{Customer: p.GetCustomer(), Number: p.GetGeneration(), Hash: p.GetHash()}
+	err := checkName("customer", g.Customer)
+	if err == nil && g.Number < 1 {
+		err = malformed("generation %d", g.Number)
+	}
+	if err != nil {
+		return dogconfig.Generation{}, fmt.Errorf("contract: %w", err)
+	}
+	return g, nil
+}
+
+// decodeText checks that the text has the hash under which it is sent, so that
+// a truncated one is not taken for another.
+func decodeText(p *peerpb.Contract) (dogconfig.Text, error) {
+	g, err := decodeGeneration(p)
+	if err != nil {
+		return dogconfig.Text{}, err
+	}
+	text := p.GetText()
+	if len(text) > dogwoodford.MaxObjectBytes || dogconfig.HashText(text) != g.Hash {
+		return dogconfig.Text{}, malformed("contract: text is too long or has another hash")
+	}
+	return dogconfig.Text{Generation: g, Text: text}, nil
+}
+
+func encodeSuspect(r dogsuspect.Report) *peerpb.Suspect {
+	return &peerpb.Suspect{
+		Digests:  r.Digests,
+		Service:  r.Service,
+		SeenMs:   encodeTime(r.At),
+		Death:    r.Death,
+		Cleared:  r.Kind == dogsuspect.Cleared,
+		Released: r.Kind == dogsuspect.Released,
+	}
+}
+
+func decodeSuspect(p *peerpb.Suspect) (dogsuspect.Report, error) {
+	at, err := decodeTime("time of a suspect", p.GetSeenMs())
+	r := dogsuspect.Report{Digests: p.GetDigests(), Service: p.GetService(), At: at, Death: p.GetDeath()}
+	switch {
+	case p.GetCleared() && p.GetReleased():
+		err = firstError(err, malformed("both cleared and released"))
+	case p.GetCleared():
+		r.Kind = dogsuspect.Cleared
+	case p.GetReleased():
+		r.Kind = dogsuspect.Released
+	default:
+		err = firstError(err, checkName("death", r.Death))
+	}
+	err = firstError(err, checkName("service", r.Service))
+	if err == nil && (len(r.Digests) == 0 || len(r.Digests) > dogsuspect.MaxDigests) {
+		err = malformed("%d digests", len(r.Digests))
+	}
+	if err == nil && at.IsZero() {
+		err = malformed("no time")
+	}
+	if err != nil {
+		return dogsuspect.Report{}, fmt.Errorf("suspect: %w", err)
+	}
+	return r, nil
+}
--- a/io/process/dogpeer/server.go
+++ b/io/process/dogpeer/server.go
@@ -2,10 +2,28 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"dogwoodford/core/process/dogmember"
+	"dogwoodford/io/process/dogpeer/peerpb"
+	"dogwoodford/io/process/dogpeer/peerpb/peerpbconnect"
+)
+
+// keyHeader carries the peer key.
+const keyHeader = "Dogwoodford-Peer-Key"
+
+var (
+	errKey  = eris.New("peer key is missing or wrong")
+	errBusy = eris.New("too many calls at once")
 )
 
 // Handler answers the calls of peers. Implementations are safe for concurrent
@@ -29,10 +47,6 @@
 	ReadBytes  int           // Largest message read; 1 MiB.
 }
 
-// NewHandler returns the path and the handler of the Peer service. It panics if
-// the key is empty.
-func NewHandler(h Handler, opt ServerOptions) (string, http.Handler) { return "/", nil }
-
 // Counts are totals of a client or server since its start, for metrics.
 type Counts struct {
 	Calls     int64
@@ -41,3 +55,162 @@
 	BytesSent int64 // Encoded messages.
 	BytesRead int64
 }
+
+type counters struct{ calls, failures, refused, sent, read atomic.Int64 }
+
+func (c *counters) counts() Counts {
+	return Counts{
+		Calls:     c.calls.Load(),
+		Failures:  c.failures.Load(),
+		Refused:   c.refused.Load(),
+		BytesSent: c.sent.Load(),
+		BytesRead: c.read.Load(),
+	}
+}
+
+// Server is the handler of the Peer service.
+type Server struct {
+	handler Handler
+	opt     ServerOptions
+	key     [sha256.Size]byte
+	slots   chan struct{}
+	counters
+	next   http.Handler
+	writer *connect.ErrorWriter
+}
+
+// NewHandler returns the path and the handler of the Peer service. It panics if
+// the key is empty.
+func NewHandler(h Handler, opt ServerOptions) (string, *Server) {
+	if opt.Key == "" {
+		panic("dogpeer: the peer key is empty")
+	}
+	if opt.Timeout == 0 {
+		opt.Timeout = defaultTimeout
+	}
+	if opt.Concurrent == 0 {
+		opt.Concurrent = defaultConcurrent
+	}
+	if opt.ReadBytes == 0 {
+		opt.ReadBytes = 1 << 20
+	}
+	s := &Server{
+		handler: h,
+		opt:     opt,
+		key:     sha256.Sum256([]byte(opt.Key)),
+		slots:   make(chan struct{}, opt.Concurrent),
+		writer:  connect.NewErrorWriter(),
+	}
+	path, next := peerpbconnect.NewPeerHandler(service{s}, connect.WithReadMaxBytes(opt.ReadBytes))
+	s.next = next
+	return path, s
+}
+
+// Counts returns totals since the start.
+func (s *Server) Counts() Counts { return s.counts() }
+
+// ServeHTTP checks the key and the bound on calls at once before anything of
+// the message is read.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	// Hashes have one length, so the comparison tells nothing of the key's.
+	got := sha256.Sum256([]byte(r.Header.Get(keyHeader)))
+	if subtle.ConstantTimeCompare(got[:], s.key[:]) != 1 {
+		s.refuse(w, r, connect.NewError(connect.CodeUnauthenticated, errKey))
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		s.refused.Add(1)
+		s.refuse(w, r, connect.NewError(connect.CodeResourceExhausted, errBusy))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.opt.Timeout)
+	defer cancel()
+	// The context does not interrupt the read of a message that arrives
+	// slowly; the deadline of the connection does.
+	deadline, _ := ctx.Deadline()
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	s.next.ServeHTTP(w, r.WithContext(ctx))
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	s.failures.Add(1)
+	// The connection is closed instead of reading a body of unknown size.
+	w.Header().Set("Connection", "close")
+	_ = s.writer.Write(w, r, err)
+}
+
+// service converts between messages and values.
+type service struct{ s *Server }
+
+// respond counts a call and turns errors into those of the protocol.
+func respond[T any](s *Server, req proto.Message, resp *T, err error) (*connect.Response[T], error) {
+	s.read.Add(int64(proto.Size(req)))
+	if err != nil {
+		s.failures.Add(1)
+		if errors.Is(err, ErrMalformed) {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	if msg, ok := any(resp).(proto.Message); ok {
+		s.sent.Add(int64(proto.Size(msg)))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func (v service) Probe(ctx context.Context, r *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	from, m, err := DecodeProbe(r.Msg)
+	var out dogmember.Message
+	if err == nil {
+		out, err = v.s.handler.Probe(ctx, from, m)
+	}
+	return respond(v.s, r.Msg, EncodeProbeAnswer(out), err)
+}
+
+func (v service) ProbeVia(ctx context.Context, r *connect.Request[peerpb.ProbeViaRequest]) (*connect.Response[peerpb.ProbeViaResponse], error) {
+	err := firstError(checkName("sender", r.Msg.GetFrom()), checkPeer(r.Msg.GetPeer()))
+	alive := false
+	if err == nil {
+		alive, err = v.s.handler.ProbeVia(ctx, r.Msg.GetFrom(), r.Msg.GetPeer())
+	}
+	return respond(v.s, r.Msg, &peerpb.ProbeViaResponse{Alive: alive}, err)
+}
+
+func (v service) Notify(ctx context.Context, r *connect.Request[peerpb.NotifyRequest]) (*connect.Response[peerpb.NotifyResponse], error) {
+	from, m, err := DecodeNotify(r.Msg)
+	if err == nil {
+		err = v.s.handler.Notify(ctx, from, m)
+	}
+	return respond(v.s, r.Msg, &peerpb.NotifyResponse{}, err)
+}
+
+func (v service) Pull(ctx context.Context, r *connect.Request[peerpb.PullRequest]) (*connect.Response[peerpb.PullResponse], error) {
+	from, req, err := DecodePull(r.Msg)
+	var out PullResponse
+	if err == nil {
+		out, err = v.s.handler.Pull(ctx, from, req)
+	}
+	return respond(v.s, r.Msg, EncodePullAnswer(out), err)
+}
+
+func (v service) Promise(ctx context.Context, r *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
+	p, err := decodePromise(r.Msg)
+	var g Grant
+	if err == nil {
+		g, err = v.s.handler.Promise(ctx, p)
+	}
+	return respond(v.s, r.Msg, &peerpb.PromiseResponse{Granted: g.OK, Refusal: clipRefusal(g.Refusal)}, err)
+}
+
+func (v service) HandOver(ctx context.Context, r *connect.Request[peerpb.HandOverRequest]) (*connect.Response[peerpb.HandOverResponse], error) {
+	h, err := decodeHandOver(r.Msg)
+	var g Grant
+	if err == nil {
+		g, err = v.s.handler.HandOver(ctx, h)
+	}
+	return respond(v.s, r.Msg, &peerpb.HandOverResponse{Accepted: g.OK, Refusal: clipRefusal(g.Refusal)}, err)
+}
--- a/io/process/dogpeer/values.go
+++ b/io/process/dogpeer/values.go
@@ -26,7 +26,7 @@
 // PullRequest asks for state.
 type PullRequest struct {
 	Self  *dogmember.Member // Record of the caller; nil if not sent.
-	Parts []uint64          // Partial hashes (dogmember.Pull); empty for the whole state.
+	Parts []uint32          // Partial hashes (dogmember.Pull); empty for the whole state.
 	// Contracts asks for contracts only: the texts of Customers, or the
 	// generations of all if Customers is empty.
 	Contracts bool
