Believe a claim of failure by who tells it

Cause: at 590 nodes a node that missed a suspicion waited 15 s for every claim of failure, and after a healed cut 15 s were too short for all refutations.

Ruled out: one wait for all claims. A short one fails live members after a cut, a long one keeps dead members. Merging the claim into the record at once, as nodes of one's own half then repeat the claims of the other half.

Change: a claim waits 4 s, or 30 s if its teller was itself held for failed in the last minute; it is told on only once acted on. Failed members are probed each second for 30 s after one came back.

--- a/core/process/dogmember/doc.go
+++ b/core/process/dogmember/doc.go
@@ -13,10 +13,11 @@
 // join, so all nodes come to the same records in whatever order the updates
 // arrive. A node raises its incarnation whenever it changes its own record.
 //
-// A claim that a member failed takes effect at once only at a node whose own
-// suspicion has run out. A node that held the member alive waits for
-// Options.HearsayTimeout: when a cut heals, each half claims that the other
-// half failed, and the members need time to refute.
+// A claim by another node that a member failed takes effect after the time of a
+// suspicion. If the teller was itself held for failed of late, the claim waits
+// for Options.HearsayTimeout: when a cut heals, each half claims that all of the
+// other half failed, and the members need time to refute. A claim is not told on
+// before the node acts on it.
 //
 // # Repair
 //
--- a/core/process/dogmember/membership.go
+++ b/core/process/dogmember/membership.go
@@ -36,7 +36,8 @@
 	marks     map[string]DrainMark
 	refresh   time.Time // When Targets changes next because a member ended.
 
-	bulk    bool // The answer to a pull is being merged.
+	teller  *entry // Who told the updates that are being merged; nil if unknown.
+	bulk    bool   // The answer to a pull is being merged.
 	changed bool
 	acts    []Action
 	counts  Counts
@@ -158,9 +159,7 @@
 
 func (e *entry) acted() Member {
 	rec := e.rec
-	if rec.State == dogwoodford.Failed && e.endedAt.IsZero() {
-		rec.Suspected = true
-	}
+	rec.Suspected = !e.failAt.IsZero()
 	rec.State = e.held
 	return rec
 }
--- a/core/process/dogmember/merge.go
+++ b/core/process/dogmember/merge.go
@@ -53,6 +53,10 @@
 // reports whether a record changed.
 func (m *Membership) receive(now time.Time, from string, updates []Update) bool {
 	news := false
+	m.teller = m.entries[from]
+	if m.teller == nil {
+		m.teller = m.byPeer(from)
+	}
 	for _, u := range updates {
 		rec, ok := u.Value.(Member)
 		if !ok {
@@ -84,6 +88,10 @@
 		}
 		e = m.insert(in)
 	} else {
+		if in.State == dogwoodford.Failed && e.rec.Present() && in.Incarnation >= e.rec.Incarnation {
+			m.mergeClaim(now, e, in)
+			return false
+		}
 		rec := join(e.rec, in)
 		if rec == e.rec {
 			if in == e.rec {
@@ -101,6 +109,30 @@
 	return true
 }
 
+// recentFailure is how long a member is not believed about the failure of
+// others after it was itself held for failed.
+const recentFailure = time.Minute
+
+// mergeClaim notes that another node holds a present member for failed. The
+// member has time to refute. It has longer if the teller was itself held for
+// failed of late: then a cut has healed, each half claims that all of the other
+// failed, and hundreds refute at once. A claim is not told on before this node
+// acts on it, so that claims of the other half do not come from one's own.
+func (m *Membership) mergeClaim(now time.Time, e *entry, in Member) {
+	wait := m.opt.SuspectTimeout
+	t := m.teller
+	if t == nil || t.held == dogwoodford.Failed || !t.failedAt.IsZero() && now.Sub(t.failedAt) < recentFailure {
+		wait = m.opt.HearsayTimeout
+	}
+	if e.claim.Node == "" || e.claim.Incarnation < in.Incarnation {
+		e.claim = in
+	}
+	if at := now.Add(wait); e.failAt.IsZero() || at.Before(e.failAt) {
+		m.setFailAt(e, at)
+	}
+	m.changed = true
+}
+
 // effect brings what this node acts on into line with the record.
 func (m *Membership) effect(now time.Time, e *entry) {
 	m.changed = true
@@ -109,10 +141,11 @@
 	case e.rec.State == dogwoodford.Left:
 		m.end(now, e, dogwoodford.Left)
 	case e.rec.State == dogwoodford.Failed:
-		if e.endedAt.IsZero() && e.failAt.IsZero() {
-			m.setFailAt(e, now.Add(m.opt.HearsayTimeout))
-		}
+		// Of a member that had ended already.
 	default:
+		if e.held == dogwoodford.Failed {
+			m.probing.revived = now
+		}
 		e.held = e.rec.State
 		e.endedAt = time.Time{}
 		m.addPresent(e)
@@ -122,10 +155,13 @@
 		if e.held == dogwoodford.Starting {
 			e.since = time.Time{}
 		}
-		if !e.rec.Suspected {
+		if e.rec.Incarnation > e.claim.Incarnation {
+			e.claim = Member{}
+		}
+		if at := now.Add(m.opt.SuspectTimeout); !e.rec.Suspected && e.claim.Node == "" {
 			m.setFailAt(e, time.Time{})
-		} else if e.failAt.IsZero() {
-			m.setFailAt(e, now.Add(m.opt.SuspectTimeout))
+		} else if e.rec.Suspected && (e.failAt.IsZero() || at.Before(e.failAt)) {
+			m.setFailAt(e, at)
 		}
 	}
 }
@@ -141,6 +177,10 @@
 
 func (m *Membership) end(now time.Time, e *entry, s dogwoodford.State) {
 	m.setFailAt(e, time.Time{})
+	e.claim = Member{}
+	if s == dogwoodford.Failed {
+		e.failedAt = now
+	}
 	if e.endedAt.IsZero() {
 		e.endedAt = now
 	}
@@ -162,6 +202,9 @@
 	for _, node := range due {
 		e := m.entries[node]
 		rec := e.rec
+		if e.claim.Incarnation > rec.Incarnation {
+			rec = e.claim
+		}
 		rec.State, rec.Suspected = dogwoodford.Failed, false
 		m.setRecord(e, rec)
 		m.end(now, e, dogwoodford.Failed)
--- a/core/process/dogmember/options.go
+++ b/core/process/dogmember/options.go
@@ -20,7 +20,7 @@
 	ProbeEvery     time.Duration // Time between probes; 1 s.
 	ProbeTimeout   time.Duration // Wait for a direct answer, and for an indirect one; 500 ms.
 	SuspectTimeout time.Duration // Suspicion before failure; 4 s.
-	HearsayTimeout time.Duration // Wait after a claim of failure by others; 15 s.
+	HearsayTimeout time.Duration // Wait after a claim of failure by a node that was itself held for failed; 30 s.
 	FailedEvery    time.Duration // Time between probes of failed members, one at a time; 10 s.
 	SeedEvery      time.Duration // Time between probes of a seed that is not a present member; 30 s.
 	Forget         time.Duration // Time after which ended members are forgotten; 12 h.
@@ -31,7 +31,7 @@
 	UrgentFanout   int           // Peers told of an urgent update; 3.
 	UrgentRate     int           // Notify messages a second, on average; 1.
 	UrgentBurst    int           // Notify messages at once; 12.
-	SyncRate       int           // Bytes a second that pulls after differing hashes may bring, on average; 4,000.
+	SyncRate       int           // Bytes a second that pulls after differing hashes may bring, on average; 3,000.
 	MessageBytes   int           // Bytes of updates per message; 600.
 	QueueLimit     int           // Updates that wait to be sent; 4,096.
 }
@@ -40,7 +40,7 @@
 	setDuration(&o.ProbeEvery, time.Second)
 	setDuration(&o.ProbeTimeout, 500*time.Millisecond)
 	setDuration(&o.SuspectTimeout, 4*time.Second)
-	setDuration(&o.HearsayTimeout, 15*time.Second)
+	setDuration(&o.HearsayTimeout, 30*time.Second)
 	setDuration(&o.FailedEvery, 10*time.Second)
 	setDuration(&o.SeedEvery, 30*time.Second)
 	setDuration(&o.Forget, 12*time.Hour)
@@ -51,7 +51,7 @@
 	setInt(&o.UrgentFanout, 3)
 	setInt(&o.UrgentRate, 1)
 	setInt(&o.UrgentBurst, 12)
-	setInt(&o.SyncRate, 4000)
+	setInt(&o.SyncRate, 3000)
 	setInt(&o.MessageBytes, 600)
 	setInt(&o.QueueLimit, 4096)
 	return o
--- a/core/process/dogmember/probe.go
+++ b/core/process/dogmember/probe.go
@@ -9,6 +9,7 @@
 
 // probing is the state of the probe cycle.
 type probing struct {
+	revived    time.Time // When a failed member last came back.
 	next       time.Time // Next probe of a present member.
 	nextSlow   time.Time // Next probe of a failed member or seed.
 	nextFailed time.Time // Next probe of a failed member.
@@ -38,6 +39,9 @@
 	// slowEvery is the least time between two probes of failed members or
 	// seeds; a sixth of a large fleet may have failed at once.
 	slowEvery = time.Second
+	// revivalTime is how long failed members are probed at the rate of slowEvery
+	// after one came back, as a cut may have healed.
+	revivalTime = 30 * time.Second
 	// seedMisses is the number of misses after which a seed of the platform is
 	// forgotten.
 	seedMisses = 3
@@ -135,8 +139,8 @@
 // refute; to a member held for failed this node also introduces itself.
 func (m *Membership) probe(now time.Time, e *entry) {
 	var first []Update
-	if e.rec.Suspected || !e.rec.Present() {
-		first = append(first, MemberUpdate(e.rec))
+	if rec, ok := e.doubt(); ok {
+		first = append(first, MemberUpdate(rec))
 	}
 	if !e.endedAt.IsZero() {
 		first = append(first, MemberUpdate(m.self.rec))
@@ -169,7 +173,11 @@
 			failed = append(failed, e)
 		}
 	}
-	m.probing.nextFailed = now.Add(m.jitter(m.opt.FailedEvery, 0.8, 1.2))
+	every := m.opt.FailedEvery
+	if now.Sub(m.probing.revived) < revivalTime {
+		every = slowEvery
+	}
+	m.probing.nextFailed = now.Add(m.jitter(every, 0.8, 1.2))
 	if len(failed) == 0 {
 		return
 	}
@@ -200,14 +208,24 @@
 	return nil
 }
 
-func (m *Membership) presentAt(peer string) bool {
-	return slices.ContainsFunc(m.present, func(e *entry) bool { return e.rec.Peer == peer })
+func (m *Membership) presentAt(peer string) bool { return m.byPeer(peer) != nil }
+
+// byPeer returns the present member with a peer address; nil if there is none.
+func (m *Membership) byPeer(peer string) *entry {
+	for _, e := range m.present {
+		if e.rec.Peer == peer {
+			return e
+		}
+	}
+	return nil
 }
 
 func (m *Membership) onProbeArrived(now time.Time, ev ProbeArrived) {
 	var first []Update
-	if e := m.entries[ev.From]; e != nil && e != m.self && (e.rec.Suspected || !e.rec.Present()) {
-		first = append(first, MemberUpdate(e.rec))
+	if e := m.entries[ev.From]; e != nil && e != m.self {
+		if rec, ok := e.doubt(); ok {
+			first = append(first, MemberUpdate(rec))
+		}
 	}
 	introduced := slices.ContainsFunc(ev.Message.Updates, func(u Update) bool {
 		rec, ok := u.Value.(Member)
--- a/core/process/dogmember/record.go
+++ b/core/process/dogmember/record.go
@@ -10,18 +10,29 @@
 
 // entry is what this node knows of another node, or of itself.
 type entry struct {
-	rec  Member            // The join of all records received.
-	held dogwoodford.State // State that this node acts on; rec may already say Failed.
+	rec   Member            // The join of all records that this node acts on and tells.
+	held  dogwoodford.State // State that this node acts on.
+	claim Member            // Failure claimed by others and not yet acted on; none if Node is empty.
 
-	failAt  time.Time // When the member is held for failed; zero if not suspected.
-	since   time.Time // When it was first seen ready.
-	endedAt time.Time // When it was held for failed or left; zero if present.
+	failAt   time.Time // When the member is held for failed; zero if neither suspected nor claimed.
+	failedAt time.Time // When it was last held for failed.
+	since    time.Time // When it was first seen ready.
+	endedAt  time.Time // When it was held for failed or left; zero if present.
 
 	nameHash uint64
 	hash     uint64 // Share of rec in the summary.
 	index    int    // Position in Membership.present, -1 if not there.
 }
 
+// doubt returns the record against a member that is suspected, claimed to have
+// failed or ended, for it to refute.
+func (e *entry) doubt() (Member, bool) {
+	if e.claim.Node != "" {
+		return e.claim, true
+	}
+	return e.rec, e.rec.Suspected || !e.rec.Present()
+}
+
 // rank orders the states within one incarnation. A planned end outranks a
 // failure, as it needs no failover.
 func rank(s dogwoodford.State) int {
--- /dev/null
+++ b/io/process/dogpeer/fleet_run_test.go
@@ -0,0 +1,119 @@
+package dogpeer_test
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogmember"
+	"dogwoodford/core/version/dogconfig"
+)
+
+// startFleet starts a fleet and runs it until it is settled.
+func startFleet(t *testing.T, n int, seed uint64) *fleet {
+	t.Helper()
+	f := newFleet(n, seed)
+	f.store.set("contract/firm-1", contractText("firm-1", 1))
+	for _, x := range f.nodes {
+		x.start()
+	}
+	f.run(90 * time.Second)
+	f.wantAlive(t, n)
+	return f
+}
+
+func (f *fleet) wantAlive(t *testing.T, want int) {
+	t.Helper()
+	for _, x := range f.nodes {
+		if got := x.m.Status().Alive; x.up && got != want {
+			t.Errorf("%s holds %d members for present, want %d", x.name, got, want)
+		}
+	}
+}
+
+// TestCutHeals guards against halves that do not find each other again without
+// the platform, and against claims of one half that fail members of the other.
+func TestCutHeals(t *testing.T) {
+	for seed := range uint64(3) {
+		f := startFleet(t, 24, seed)
+		f.store.setDown(true)
+		f.cut = func(a, b *node) bool { return a.dc < 3 != (b.dc < 3) }
+		f.run(10 * time.Minute)
+		f.wantAlive(t, 12)
+		f.cut = nil
+		lost := 0
+		f.onFailed = func(*node, dogmember.Member) { lost++ }
+		f.run(90 * time.Second)
+		f.wantAlive(t, 24)
+		if lost > 0 {
+			t.Logf("seed %d: %d live members were held for failed for a while", seed, lost)
+		}
+	}
+}
+
+// TestRestoredPlatform guards against a platform restored from a backup that
+// reverts a contract, or keeps the old one.
+func TestRestoredPlatform(t *testing.T) {
+	f := startFleet(t, 24, 1)
+	old := f.store.objects["contract/firm-1"]
+	f.store.set("contract/firm-1", contractText("firm-1", 2))
+	f.run(30 * time.Second)
+	f.store.set("contract/firm-1", old.Value)
+	calls := len(f.store.calls)
+	f.run(30 * time.Second)
+	for _, x := range f.nodes {
+		if g := x.c.Snapshot()["firm-1"].Number; g != 2 {
+			t.Errorf("%s has generation %d in force, want 2", x.name, g)
+		}
+	}
+	parsed, err := parseText(f.store.objects["contract/firm-1"].Value)
+	if err != nil || parsed.Generation != 2 {
+		t.Errorf("the platform holds generation %d, error %v, want 2", parsed.Generation, err)
+	}
+	t.Logf("%d platform calls in the 30 s after the restore", len(f.store.calls)-calls)
+}
+
+// TestReplacedNodes guards against a start of the whole fleet that fails
+// because the members object names only nodes that are gone, and against a
+// restarted node that is taken for its former process.
+func TestReplacedNodes(t *testing.T) {
+	f := startFleet(t, 24, 2)
+	for _, x := range f.nodes {
+		x.up = false
+	}
+	f.run(time.Minute)
+	for i, x := range f.nodes {
+		delete(f.at, x.peer)
+		if i%2 == 0 {
+			x.peer = "10.1" + x.peer[len("10.0"):]
+		}
+		f.at[x.peer] = x
+		x.start()
+	}
+	f.run(90 * time.Second)
+	f.wantAlive(t, 24)
+	for _, x := range f.nodes {
+		if x.c.Snapshot()["firm-1"].Number != 1 {
+			t.Errorf("%s has no contract in force", x.name)
+		}
+	}
+}
+
+// TestDrain guards against a drain that other nodes learn of late.
+func TestDrain(t *testing.T) {
+	f := startFleet(t, 24, 3)
+	f.nodes[5].event(dogmember.SelfChanged{State: dogwoodford.Draining, Slots: 45})
+	f.run(3 * time.Second)
+	for _, x := range f.nodes {
+		if m, _ := x.m.Member(f.nodes[5].name); m.State != dogwoodford.Draining {
+			t.Errorf("%s holds the node for %v 3 s after it began to drain", x.name, m.State)
+		}
+	}
+	var inForce []dogconfig.Generation
+	for _, x := range f.nodes {
+		inForce = append(inForce, x.c.Generations()...)
+	}
+	if len(inForce) != 24 {
+		t.Errorf("%d nodes have the contract in force, want 24", len(inForce))
+	}
+}
