--- /dev/null
+++ b/core/process/dogsuspect/suspect.go
@@ -0,0 +1,333 @@
+package dogsuspect
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dogwoodford/core/process/dogmember"
+)
+
+// Kind says what a Report tells.
+type Kind int
+
+const (
+	// Death means that the digests were in progress when a target died.
+	Death Kind = iota
+	// Cleared means that the digests completed after the deaths up to the report's time.
+	Cleared
+	// Released means that an operator released the digests.
+	Released
+)
+
+// MaxDigests is the number of digests in one report. Further ones in progress
+// at a death are left out.
+const MaxDigests = 256
+
+// Report is what a node tells of a death, or of digests. Updates carry it by
+// value.
+type Report struct {
+	Kind    Kind
+	Digests []uint64 // Sorted, without zero and duplicates.
+	Service string
+	At      time.Time // Time of the death; deaths up to it are cleared or released. Whole milliseconds.
+	Death   string    // Names the death of one target, so that it counts once; for Death only.
+}
+
+// ReportUpdate returns the update that carries r.
+func ReportUpdate(r Report) dogmember.Update {
+	key := "suspect/" + r.Death
+	if r.Kind != Death {
+		key = fmt.Sprintf("suspect/%d/%x", r.Kind, r.Digests)
+	}
+	return dogmember.Update{Key: key, Value: r}
+}
+
+// Options configure Suspects. Zero values take the defaults in the comments.
+type Options struct {
+	Quarantine time.Duration // Length of a suspicion or quarantine after the last death; 15 min.
+	Retain     time.Duration // Time for which a death is kept; 30 min.
+	MaxDeaths  int           // Deaths kept, the latest; 512.
+	MaxCovered int           // Clearances and releases kept, the latest; 4,096.
+}
+
+// maxSkew is how far in the future a report may be, as clocks differ.
+const maxSkew = time.Minute
+
+// death is one death of a target.
+type death struct {
+	id      string
+	at      time.Time
+	service string
+	digests []uint64
+}
+
+// Suspects holds what one node knows of suspects. It is not safe for concurrent
+// use.
+type Suspects struct {
+	opt     Options
+	deaths  map[string]*death
+	covered map[uint64]Report // Latest clearance or release by digest.
+	view    *View
+	acts    []Action
+}
+
+// New returns Suspects that know of none.
+func New(opt Options) *Suspects {
+	if opt.Quarantine == 0 {
+		opt.Quarantine = 15 * time.Minute
+	}
+	if opt.Retain == 0 {
+		opt.Retain = 30 * time.Minute
+	}
+	if opt.MaxDeaths == 0 {
+		opt.MaxDeaths = 512
+	}
+	if opt.MaxCovered == 0 {
+		opt.MaxCovered = 4096
+	}
+	return &Suspects{
+		opt:     opt,
+		deaths:  map[string]*death{},
+		covered: map[uint64]Report{},
+		view:    &View{},
+	}
+}
+
+// OnEvent applies an event and returns what to do.
+func (s *Suspects) OnEvent(now time.Time, ev Event) []Action {
+	switch ev := ev.(type) {
+	case Tick:
+		if s.expire(now) {
+			s.rebuild(now)
+		}
+	case TargetDied:
+		s.onDied(now, ev)
+	case Heard:
+		if s.merge(now, ev.Report) {
+			s.act(Spread(ev))
+			s.rebuild(now)
+		}
+	case Completed:
+		if e := s.view.Lookup(now, ev.Digest); e.Standing == Suspected {
+			s.cover(now, Cleared, e)
+		}
+	case Release:
+		if e := s.view.Lookup(now, ev.Digest); e.Standing != Clean {
+			s.cover(now, Released, e)
+		}
+	}
+	acts := s.acts
+	s.acts = nil
+	return acts
+}
+
+func (s *Suspects) act(a Action) { s.acts = append(s.acts, a) }
+
+func (s *Suspects) onDied(now time.Time, ev TargetDied) {
+	digests := normal(ev.Digests)
+	if len(digests) == 0 {
+		return
+	}
+	r := Report{
+		Kind:    Death,
+		Digests: digests,
+		Service: ev.Service,
+		At:      now.Truncate(time.Millisecond),
+		Death:   ev.ID,
+	}
+	if s.merge(now, r) {
+		s.act(Spread{Report: r})
+		s.rebuild(now)
+	}
+}
+
+// normal returns sorted digests without zero and duplicates, at most
+// MaxDigests.
+func normal(digests []uint64) []uint64 {
+	out := slices.Clone(digests)
+	slices.Sort(out)
+	out = slices.Compact(out)
+	if len(out) > 0 && out[0] == 0 {
+		out = out[1:]
+	}
+	return out[:min(len(out), MaxDigests)]
+}
+
+// cover clears or releases a digest of the deaths known here. The time is that
+// of the last death, not now, so that a death of which this node has not heard
+// still counts.
+func (s *Suspects) cover(now time.Time, k Kind, e Entry) {
+	r := Report{Kind: k, Digests: []uint64{e.Digest}, Service: e.Service, At: e.Last}
+	if s.merge(now, r) {
+		s.act(Spread{Report: r})
+		s.rebuild(now)
+	}
+}
+
+// merge adds a report and tells whether it was news.
+func (s *Suspects) merge(now time.Time, r Report) bool {
+	if r.At.After(now.Add(maxSkew)) || now.Sub(r.At) >= s.opt.Retain {
+		return false
+	}
+	r.Digests = normal(r.Digests)
+	if len(r.Digests) == 0 {
+		return false
+	}
+	if r.Kind == Death {
+		if r.Death == "" || s.deaths[r.Death] != nil {
+			return false
+		}
+		s.deaths[r.Death] = &death{id: r.Death, at: r.At, service: r.Service, digests: r.Digests}
+		s.boundDeaths()
+		return s.deaths[r.Death] != nil
+	}
+	news := false
+	for _, d := range r.Digests {
+		if old, ok := s.covered[d]; ok && !old.At.Before(r.At) {
+			continue
+		}
+		one := r
+		one.Digests = []uint64{d}
+		s.covered[d] = one
+		news = true
+	}
+	s.boundCovered()
+	return news
+}
+
+// boundDeaths drops the oldest death beyond the bound.
+func (s *Suspects) boundDeaths() {
+	if len(s.deaths) <= s.opt.MaxDeaths {
+		return
+	}
+	sorted := s.sortedDeaths()
+	delete(s.deaths, sorted[0].id)
+}
+
+func (s *Suspects) boundCovered() {
+	for len(s.covered) > s.opt.MaxCovered {
+		var oldest uint64
+		for d, r := range s.covered {
+			if o := s.covered[oldest]; oldest == 0 || r.At.Before(o.At) || r.At.Equal(o.At) && d < oldest {
+				oldest = d
+			}
+		}
+		delete(s.covered, oldest)
+	}
+}
+
+// sortedDeaths returns the deaths by time, then by name.
+func (s *Suspects) sortedDeaths() []*death {
+	out := make([]*death, 0, len(s.deaths))
+	for _, d := range s.deaths {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b *death) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	return out
+}
+
+// expire drops reports that no longer count and tells whether the view changed.
+func (s *Suspects) expire(now time.Time) bool {
+	for id, d := range s.deaths {
+		if now.Sub(d.at) >= s.opt.Retain {
+			delete(s.deaths, id)
+		}
+	}
+	for d, r := range s.covered {
+		if now.Sub(r.At) >= s.opt.Retain {
+			delete(s.covered, d)
+		}
+	}
+	for _, e := range s.view.entries {
+		if !now.Before(e.Until) {
+			return true
+		}
+	}
+	return false
+}
+
+// counts reports whether a death still counts for a digest.
+func (s *Suspects) counts(d *death, digest uint64) bool {
+	r, ok := s.covered[digest]
+	return !ok || d.at.After(r.At)
+}
+
+// rebuild makes a new view.
+func (s *Suspects) rebuild(now time.Time) {
+	old := s.view
+	next := &View{entries: map[uint64]Entry{}}
+	for _, d := range s.sortedDeaths() {
+		if now.Sub(d.at) < s.opt.Retain {
+			s.addDeath(next.entries, d)
+		}
+	}
+	for g, e := range next.entries {
+		if !now.Before(e.Until) {
+			delete(next.entries, g)
+		}
+	}
+	s.view = next
+	s.act(Changed{})
+	for _, e := range next.Entries() {
+		if e.Standing == Quarantined && old.entries[e.Digest].Standing != Quarantined {
+			s.act(QuarantineBegun{Entry: e})
+		}
+	}
+}
+
+// addDeath adds a death to the entries made from the earlier ones. A digest
+// that was the only suspect in progress is quarantined.
+func (s *Suspects) addDeath(entries map[uint64]Entry, d *death) {
+	var suspects []uint64
+	for _, g := range d.digests {
+		if !d.at.Before(entries[g].Until) {
+			// The suspicion had ended, so the earlier deaths do not count.
+			delete(entries, g)
+		}
+		if entries[g].Deaths > 0 && s.counts(d, g) {
+			suspects = append(suspects, g)
+		}
+	}
+	for _, g := range d.digests {
+		if !s.counts(d, g) {
+			continue
+		}
+		e := entries[g]
+		e.Digest, e.Service = g, d.service
+		e.Deaths++
+		e.Last, e.Until = d.at, d.at.Add(s.opt.Quarantine)
+		if len(suspects) == 1 && suspects[0] == g {
+			e.Standing = Quarantined
+		} else if e.Standing == Clean {
+			e.Standing = Suspected
+		}
+		entries[g] = e
+	}
+}
+
+// View returns the present suspects.
+func (s *Suspects) View() *View { return s.view }
+
+// Reports returns all reports that still count, for a Pull of the whole state.
+func (s *Suspects) Reports() []Report {
+	var out []Report
+	for _, d := range s.sortedDeaths() {
+		out = append(out, Report{Kind: Death, Digests: d.digests, Service: d.service, At: d.at, Death: d.id})
+	}
+	var digests []uint64
+	for d := range s.covered {
+		digests = append(digests, d)
+	}
+	slices.Sort(digests)
+	for _, d := range digests {
+		out = append(out, s.covered[d])
+	}
+	return out
+}
