--- a/cmd/dogfake/internal/faketarget/faketarget_test.go
+++ b/cmd/dogfake/internal/faketarget/faketarget_test.go
@@ -61,15 +61,22 @@
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target := New(Config{Slots: 2, Time: time.Second})
-		var early, late *httptest.ResponseRecorder
+		var early, grace, late *httptest.ResponseRecorder
 		go func() { early = send(target, "POST", "/invoices", "", "Dogwoodford-Key", "k") }()
 		synctest.Wait()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			grace = send(target, "GET", "/sheets/1", "")
+		}()
 		go func() {
 			time.Sleep(200 * time.Millisecond)
 			late = send(target, "GET", "/sheets/1", "")
 		}()
 		target.Drain(t.Context(), 100*time.Millisecond)
 		synctest.Wait()
+		if grace.Code != 200 {
+			t.Errorf("during the grace: %d, want 200", grace.Code)
+		}
 		if early.Code != 200 || late.Code != 503 || late.Header().Get(outcomeHeader) != "not-run" {
 			t.Errorf("in progress %d, new %d %v, want 200, 503 not-run", early.Code, late.Code, late.Header())
 		}
--- a/cmd/dogwoodford/main.go
+++ b/cmd/dogwoodford/main.go
@@ -1,5 +1,3 @@
-// Command dogwoodford is the node and the operators' tool of the overload
-// control layer. docs/operators.md describes its commands.
 package main
 
 import (
--- a/core/version/dogcontract/parse.go
+++ b/core/version/dogcontract/parse.go
@@ -176,14 +176,14 @@
 	checkMethods(s, class)
 	if class.path != "" && !validPath(class.path) {
 		s.Report("path", "the path must start with a slash, have no empty, \".\" or \"..\" segment, "+
-			"no query, no space, and at most %d bytes", MaxPath)
+			"no query, space or backslash, and at most %d bytes", MaxPath)
 	}
 	return class
 }
 
 func validPath(path string) bool {
 	return len(path) <= MaxPath && canonical(path) &&
-		!strings.ContainsFunc(path, func(r rune) bool { return r <= ' ' || r == '?' || r == '#' || r == 0x7f })
+		!strings.ContainsFunc(path, func(r rune) bool { return r <= ' ' || r == '?' || r == '#' || r == '\\' || r == 0x7f })
 }
 
 func checkMethods(s *dogini.Section, class Class) {
@@ -210,10 +210,9 @@
 // changed without changing anything else.
 var ErrGeneration = eris.New("the generation cannot be set in this text")
 
-var (
-	sectionLine    = regexp.MustCompile(`^\s*\[\s*([^\]]*?)\s*\]`)
-	generationLine = regexp.MustCompile(`^(\s*generation\s*=\s*)(\d+)(.*)$`)
-)
+// generationLine finds the one line of a valid contract with this key; no other
+// section knows it.
+var generationLine = regexp.MustCompile(`^(\s*generation\s*=\s*)(\d+)(.*)$`)
 
 // SetGeneration returns the text of a valid contract with another generation;
 // comments and all other lines stay as they are. n must be in
@@ -223,13 +222,9 @@
 		return nil, fmt.Errorf("set generation %d: %w", n, ErrGeneration)
 	}
 	lines := strings.Split(string(data), "\n")
-	section, found := "", 0
+	found := 0
 	for i, line := range lines {
-		if m := sectionLine.FindStringSubmatch(line); m != nil {
-			section = m[1]
-			continue
-		}
-		if m := generationLine.FindStringSubmatch(line); m != nil && section == "contract" {
+		if m := generationLine.FindStringSubmatch(line); m != nil {
 			lines[i] = m[1] + strconv.FormatInt(n, 10) + m[3]
 			found++
 		}
--- a/core/version/dogini/dogini.go
+++ b/core/version/dogini/dogini.go
@@ -43,12 +43,9 @@
 		AllowDuplicateShadowValues: true,
 		PreserveEmptyShadowValues:  true,
 		AllowNonUniqueSections:     true,
-		IgnoreContinuation:         true,
+		IgnoreContinuation:         true, // A stray backslash must not hide the next line.
 		SpaceBeforeInlineComment:   true,
 		KeyValueDelimiters:         "=",
-		// A delimiter that no name holds: the default "." makes a section
-		// inherit keys from another.
-		ChildSectionDelimiter: "\x00",
 	}, data)
 	if err != nil {
 		d.Report("", "", "%s", strings.TrimSpace(err.Error()))
--- a/io/process/dogcli/dogcli_test.go
+++ b/io/process/dogcli/dogcli_test.go
@@ -1,6 +1,7 @@
 package dogcli
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -112,6 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform()
 		p.force(t, "firm-1", contractText(t, 2, "20"))
+		p.force(t, "firm-2", bytes.Replace(contractText(t, 2, "20"), []byte("= firm-1"), []byte("= firm-2"), 1))
 		start := time.Now()
 		after := func(d time.Duration) func() dogstatus.Status {
 			return func() dogstatus.Status {
@@ -119,7 +121,8 @@
 				if time.Since(start) >= d {
 					g = 3 // A later generation counts as well.
 				}
-				return dogstatus.Status{Node: "n", Contracts: []dogstatus.Contract{{Customer: "firm-1", Generation: g}}}
+				return dogstatus.Status{Node: "n", Contracts: []dogstatus.Contract{
+					{Customer: "firm-1", Generation: g}, {Customer: "firm-2", Generation: 2}}}
 			}
 		}
 		ns := nodes{"a": after(0), "b": after(4 * time.Second), "never": after(time.Hour)}
