dogfake load: count latency from when a request was due

Cause: the time was taken when the request began, so a generator that lags behind its rate would show latencies that are too low.

Ruled out: pacing by the answers; the load is open loop by purpose.

Change: the latency starts at the time at which the request was due.

Conclusion: figures of the generator now include its own lateness.

--- a/cmd/dogfake/internal/fakeload/load.go
+++ b/cmd/dogfake/internal/fakeload/load.go
@@ -65,9 +65,10 @@
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			began := time.Now()
 			res, reason, attempts := j.run(ctx)
-			c.add(k.Class, due, res, reason, attempts, time.Since(began))
+			// Counted from when the request was due, so that a generator that
+			// lags does not hide the wait.
+			c.add(k.Class, due, res, reason, attempts, time.Since(start.Add(due)))
 		})
 	}
 	wg.Wait()
