dogadmit: raise the cutoff only while arrivals exceed starts

Cause: the cutoff crept into the top class, as every window with a queue raised it to at least the next priority in use, also while the queue drained.

--- a/core/process/dogadmit/cutoff.go
+++ b/core/process/dogadmit/cutoff.go
@@ -14,6 +14,9 @@
 	// next; 0.8 averages over half a second, which gives targets with 15 slots
 	// enough arrivals to estimate from.
 	cutoffMemory = 0.8
+	// cutoffMargin keeps the cutoff on the low side of the estimate: the queue
+	// chooses exactly, and a cutoff that is too high leaves places empty.
+	cutoffMargin = 1.05
 	// maxWindows bounds the work after an idle time. The cutoff reaches zero
 	// from any value in fewer windows.
 	maxWindows = 20
@@ -75,19 +78,15 @@
 }
 
 // raise sets the cutoff to the lowest value above which the recent arrivals do
-// not exceed the recent starts, and at least to the next priority in use.
+// not exceed the recent starts by more than the margin. A queue that remains
+// while the arrivals do not exceed the starts is drained by priority; raising
+// the cutoff for it too would refuse work that can be served.
 func (c *cutoff) raise() {
 	sum := 0.0
-	next := c.value
 	for p := dogwoodford.MaxPriority; p > c.value; p-- {
-		n := float64(c.arrivals[p])
-		if n > 0 {
-			next = p
-		}
-		if sum += n; sum > c.starts {
+		if sum += float64(c.arrivals[p]); sum > c.starts*cutoffMargin {
 			c.value = p
 			return
 		}
 	}
-	c.value = next
 }
--- a/core/process/dogreplay/clients.go
+++ b/core/process/dogreplay/clients.go
@@ -126,24 +126,14 @@
 // randomReady returns a random target that the view of a data centre holds for
 // ready, or nil.
 func (s *sim) randomReady(dc, service int) *node {
-	ready := 0
-	for _, t := range s.views[dc][service] {
-		if t.State == dogwoodford.Ready {
-			ready++
+	var ready []*node
+	for _, n := range s.byService[service] {
+		if s.views[dc][n.number].State == dogwoodford.Ready {
+			ready = append(ready, n)
 		}
 	}
-	if ready == 0 {
+	if len(ready) == 0 {
 		return nil
 	}
-	k := s.choices.IntN(ready)
-	for i, t := range s.views[dc][service] {
-		if t.State != dogwoodford.Ready {
-			continue
-		}
-		if k == 0 {
-			return s.byService[service][i]
-		}
-		k--
-	}
-	return nil
+	return ready[s.choices.IntN(len(ready))]
 }
--- a/core/process/dogreplay/ours.go
+++ b/core/process/dogreplay/ours.go
@@ -88,7 +88,7 @@
 		o.done(answer{end: refused, unused: o.budget.left, hint: v.RetryAfter()})
 		return
 	}
-	target, reason := n.router.Pick(now, req, s.views[n.dc][o.run.service], o.tried)
+	target, reason := n.router.Pick(now, req, s.views[n.dc], o.tried)
 	if reason != dogwoodford.ReasonNone {
 		o.done(answer{end: refused, unused: o.budget.left})
 		return
@@ -120,7 +120,7 @@
 	n, s := o.from, o.from.s
 	now := s.time()
 	n.router.Answered(now, g.name, s.now-begin, a.broken, a.load)
-	if a.load != nil {
+	if a.load != nil && !a.broken {
 		n.table.Reported(now, req, g.name, a.report)
 	}
 	if a.end == answered {
@@ -142,7 +142,11 @@
 func (in *incoming) offer() {
 	n, s := in.at, in.at.s
 	if !n.up || n.draining {
-		in.reply(answer{end: refused, unused: in.req.Retries(), broken: true})
+		a := answer{end: refused, unused: in.req.Retries(), broken: true}
+		if n.draining {
+			a.load = &dogwoodford.Load{} // The limit 0 says that no new work is taken.
+		}
+		in.reply(a)
 		return
 	}
 	v, releases := n.adm.Offer(s.time(), in.req)
--- a/core/process/dogreplay/sim.go
+++ b/core/process/dogreplay/sim.go
@@ -86,9 +86,9 @@
 
 	nodes     []*node
 	byService [][]*node
-	// views holds the targets as the nodes of a data centre see them, by data
-	// centre and service.
-	views [][][]dogwoodford.Target
+	// views holds all targets as the nodes of a data centre see them, in the
+	// order of nodes.
+	views [][]dogwoodford.Target
 
 	requests []*request // Every customer request.
 	attempts int        // Dispatches to targets.
@@ -142,14 +142,12 @@
 
 func (s *sim) build() {
 	t := s.t
-	s.views = make([][][]dogwoodford.Target, len(t.dataCentres))
-	for d := range s.views {
-		s.views[d] = make([][]dogwoodford.Target, len(t.services))
-	}
+	s.views = make([][]dogwoodford.Target, len(t.dataCentres))
 	s.byService = make([][]*node, len(t.services))
 	for i, svc := range t.services {
 		for w := range svc.workers {
 			n := newNode(s, i, w)
+			n.number = len(s.nodes)
 			s.nodes = append(s.nodes, n)
 			s.byService[i] = append(s.byService[i], n)
 			target := dogwoodford.Target{
@@ -158,7 +156,7 @@
 				Since: epoch.Add(-time.Hour), Seen: epoch,
 			}
 			for d := range s.views {
-				s.views[d][i] = append(s.views[d][i], target)
+				s.views[d] = append(s.views[d], target)
 			}
 		}
 	}
@@ -212,7 +210,7 @@
 func (s *sim) setState(n *node, state dogwoodford.State, in func(d int) bool) {
 	for d := range s.views {
 		if in(d) {
-			t := &s.views[d][n.service][n.index]
+			t := &s.views[d][n.number]
 			t.State, t.Seen = state, s.time()
 		}
 	}
@@ -221,7 +219,7 @@
 // returned shows a restarted target as new to all nodes.
 func (s *sim) returned(n *node) {
 	for d := range s.views {
-		t := &s.views[d][n.service][n.index]
+		t := &s.views[d][n.number]
 		t.State, t.Seen, t.Since = dogwoodford.Ready, s.time(), s.time()
 	}
 }
--- a/core/process/dogreplay/target.go
+++ b/core/process/dogreplay/target.go
@@ -20,7 +20,8 @@
 	s       *sim
 	name    string
 	service int
-	index   int
+	index   int // Among the workers of the service.
+	number  int // Among all nodes.
 	dc      int
 
 	// The fake target.
--- a/core/request/dogroute/known.go
+++ b/core/request/dogroute/known.go
@@ -1,11 +1,6 @@
 package dogroute
 
-import (
-	"hash/fnv"
-	"time"
-
-	"dogwoodford"
-)
+import "hash/fnv"
 
 // known is a bounded set of digests. It keeps two generations and drops the
 // older one when the newer is full, so a digest in use stays known.
@@ -36,33 +31,6 @@
 	k.newer[d] = struct{}{}
 }
 
-// rendezvous returns the two nodes that the digest of r hashes to among the
-// present targets of its service. Failed targets count while present, so that
-// the death of a target does not pass its content on to a third one. Draining
-// and departed targets do not count: they leave by plan, not because of
-// content.
-func (rt *Router) rendezvous(now time.Time, r dogwoodford.Request, targets []dogwoodford.Target) [2]string {
-	var names [2]string
-	var scores [2]uint64
-	for _, t := range targets {
-		if t.Service != r.Service() || t.State == dogwoodford.Draining || t.State == dogwoodford.Left {
-			continue
-		}
-		if t.State != dogwoodford.Ready && now.Sub(t.Seen) > rt.opts.Present {
-			continue
-		}
-		s := score(r.Digest(), t.Node)
-		switch {
-		case names[0] == "" || s > scores[0]:
-			names[1], scores[1] = names[0], scores[0]
-			names[0], scores[0] = t.Node, s
-		case names[1] == "" || s > scores[1]:
-			names[1], scores[1] = t.Node, s
-		}
-	}
-	return names
-}
-
 // score mixes a digest with a node name. The finalizer is that of SplitMix64.
 func score(digest uint64, name string) uint64 {
 	h := fnv.New64a()
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -38,16 +38,19 @@
 type Router struct {
 	opts    Options
 	nodes   map[string]*node
+	silence map[string]*silence // By data centre.
 	known   known
 	scratch []candidate
 }
 
 // node is what this node observed of another.
 type node struct {
-	inFlight  int // Own requests.
+	dc        string // As of the last pick.
+	inFlight  int    // Own requests.
 	load      dogwoodford.Load
 	loadAt    time.Time
-	ownAtLoad int // Own requests in flight when the load was reported.
+	ownAtLoad int  // Own requests in flight when the load was reported.
+	silent    bool // The last dispatch got no answer.
 	failures  float64
 	failedAt  time.Time
 	usedAt    time.Time
@@ -76,12 +79,17 @@
 	if o.Known == 0 {
 		o.Known = 1 << 16
 	}
-	return &Router{opts: o, nodes: make(map[string]*node), known: newKnown(o.Known)}
+	return &Router{
+		opts: o, nodes: make(map[string]*node), silence: make(map[string]*silence),
+		known: newKnown(o.Known),
+	}
 }
 
 // Pick chooses a target; see dogwoodford.Router. Requests with a zero digest
-// are unrestricted. Targets that failed must stay in targets with their last
-// Seen time, or content unknown until then would move on to further targets.
+// are unrestricted. Targets of other services are passed over, but serve to
+// tell a data centre that is cut off from a target that died. Targets that
+// failed must stay in targets with their last Seen time, or content unknown
+// until then would move on to further targets.
 func (rt *Router) Pick(now time.Time, r dogwoodford.Request, targets []dogwoodford.Target, tried []string) (dogwoodford.Target, dogwoodford.Reason) {
 	restricted := r.Digest() != 0 && !rt.known.has(r.Digest())
 	var two [2]string
@@ -90,7 +98,7 @@
 	}
 	list := rt.scratch[:0]
 	for _, t := range targets {
-		if t.Service != r.Service() || t.State != dogwoodford.Ready || slices.Contains(tried, t.Node) {
+		if t.Service != r.Service() || t.State != dogwoodford.Ready || slices.Contains(tried, t.Node) || rt.declined(now, t.Node) {
 			continue
 		}
 		if restricted && t.Node != two[0] && t.Node != two[1] {
@@ -122,7 +130,10 @@
 }
 
 // Answered records the end of a dispatch; see dogwoodford.Router. A refusal for
-// overload is not a failure: its load already tells.
+// overload is not a failure: its load already tells. A failure without a load
+// means that no answer came. A load with the limit 0 means that the target
+// takes no new work, for instance because it drains; the router then leaves it
+// out for 2 s, in which gossip should bring its state.
 func (rt *Router) Answered(now time.Time, name string, _ time.Duration, failed bool, load *dogwoodford.Load) {
 	n := rt.node(name)
 	n.inFlight = max(0, n.inFlight-1)
@@ -134,6 +145,7 @@
 		n.failures = rate - failureStep*rate
 	}
 	n.failedAt = now
+	rt.heard(now, n, failed && load == nil)
 	if load != nil {
 		n.load, n.loadAt, n.ownAtLoad = *load, now, n.inFlight
 	}
@@ -176,6 +188,12 @@
 	return n.failures * math.Exp2(-now.Sub(n.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+// declined reports whether a node said that it takes no new work.
+func (rt *Router) declined(now time.Time, name string) bool {
+	n := rt.nodes[name]
+	return n != nil && n.fresh(now) && n.load.Limit == 0
+}
+
 func (rt *Router) candidate(now time.Time, t dogwoodford.Target) candidate {
 	c := candidate{target: t, weight: 1}
 	if age := now.Sub(t.Since); age < rt.opts.SlowStart {
@@ -183,6 +201,7 @@
 	}
 	limit, busy := t.Slots, 0
 	if n := rt.nodes[t.Node]; n != nil {
+		n.dc = t.DataCentre
 		ok := 1 - n.rate(now)
 		c.weight *= ok * ok
 		busy = n.inFlight
