dogadmit: start a trial of a lower limit after three high windows

Change: three windows with high latency come before a trial; the memory of arrivals and starts is 1 s instead of 0.5 s.

--- a/core/process/dogadmit/cutoff.go
+++ b/core/process/dogadmit/cutoff.go
@@ -11,9 +11,9 @@
 	// cutoff rises, and short before it falls.
 	cutoffWindow = 100 * time.Millisecond
 	// cutoffMemory is the share of the counts kept from one window to the
-	// next; 0.8 averages over half a second, which gives targets with 15 slots
+	// next; 0.9 averages over a second, which gives targets with 15 slots
 	// enough arrivals to estimate from.
-	cutoffMemory = 0.8
+	cutoffMemory = 0.9
 	// cutoffMargin keeps the cutoff on the low side of the estimate: the queue
 	// chooses exactly, and a cutoff that is too high leaves places empty.
 	cutoffMargin = 1.05
--- a/core/process/dogadmit/limit.go
+++ b/core/process/dogadmit/limit.go
@@ -20,6 +20,10 @@
 	// restAfterRevert is the time without a new trial after a lower limit did
 	// not lower the latency.
 	restAfterRevert = 5 * time.Second
+	// highWindows is the number of windows with high latency before a trial. A
+	// trial in the first second of an overload, before the cutoff has risen,
+	// cost the top class 0.6% of its demand in factdesk-both.
+	highWindows = 3
 	// drift raises the long-term minimum per measurement, so that a minimum
 	// from other circumstances is forgotten within minutes.
 	drift = 1.002
@@ -43,6 +47,7 @@
 	base     float64 // Long-term minimum of the window means, in seconds.
 	trial    float64 // Limit before the present trial; zero if there is none.
 	trialAt  float64 // Mean latency before the trial.
+	high     int     // Windows in a row with high latency.
 	settling bool    // The present window follows a change and is not judged.
 	restEnd  time.Time
 
@@ -121,8 +126,13 @@
 	gradient := tolerance * l.base / mean
 	switch {
 	case gradient >= 1:
+		l.high = 0
 		l.value = min(float64(l.slots), l.value+math.Sqrt(l.value))
 	case used && !now.Before(l.restEnd):
+		if l.high++; l.high < highWindows {
+			return
+		}
+		l.high = 0
 		l.trial, l.trialAt = l.value, mean
 		l.value = max(float64(l.min), l.value*max(gradient, maxCut))
 		l.settling = true
