Assemble the node: a request runs from caller to target

Cause: the parts (handlers, admission, routing, ownership, membership, configuration) had no process around them.

Taking an absent Dogwoodford-Attempt for the first attempt: a resend by a caller that does not count would then be refused as "not run" although an earlier send may have run. Telling processes of one node apart by the incarnation of membership, which refutations raise; members carry their start as well.

--- a/cmd/dogfake/main.go
+++ b/cmd/dogfake/main.go
@@ -4,26 +4,31 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"dogwoodford/cmd/dogfake/internal/fakecollector"
 	"dogwoodford/cmd/dogfake/internal/fakeplatform"
 )
 
+var errStatus = eris.New("the stand-in refused")
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cmd := &cli.Command{
 		Name:     "dogfake",
 		Usage:    "stand-ins for tests and the demo",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), collectorCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), collectorCommand(), callCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dogfake:", err)
@@ -58,6 +63,35 @@
 	}
 }
 
+// callCommand controls a stand-in from a script, so that scripts need no other
+// program.
+func callCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "call",
+		Usage:     "make one HTTP call and print the body of the answer",
+		ArgsUsage: "METHOD URL [BODY]",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			args := cmd.Args()
+			req, err := http.NewRequestWithContext(ctx, args.Get(0), args.Get(1), strings.NewReader(args.Get(2)))
+			if err != nil {
+				return fmt.Errorf("call: %w", err)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return fmt.Errorf("call: %w", err)
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(os.Stdout, resp.Body); err != nil {
+				return fmt.Errorf("call: read answer: %w", err)
+			}
+			if resp.StatusCode >= http.StatusBadRequest {
+				return fmt.Errorf("call: status %d: %w", resp.StatusCode, errStatus)
+			}
+			return nil
+		},
+	}
+}
+
 // newServer returns a server for HTTP/1.1 and cleartext HTTP/2.
 func newServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
--- a/core/process/dogmember/member.go
+++ b/core/process/dogmember/member.go
@@ -10,12 +10,15 @@
 type Member struct {
 	Node        string
 	Incarnation uint64 // Milliseconds since the Unix epoch at process start, raised by one at each change.
-	Service     string
-	DataCentre  string
-	Peer        string // IP address and port of the peer listener.
-	State       dogwoodford.State
-	Slots       int
-	Suspected   bool
+	// Started is the incarnation at the process start. It tells processes of one
+	// node apart, as a refutation does not change it.
+	Started    uint64
+	Service    string
+	DataCentre string
+	Peer       string // IP address and port of the peer listener.
+	State      dogwoodford.State
+	Slots      int
+	Suspected  bool
 }
 
 // Present reports whether the record holds the node for running.
--- a/core/request/dogcall/caller.go
+++ b/core/request/dogcall/caller.go
@@ -24,7 +24,7 @@
 	Credential  string          // Without the scheme; empty if absent.
 	Key         dogwoodford.Key // Zero if absent.
 	Deadline    time.Duration   // Zero if absent.
-	Attempt     int             // 1 if absent.
+	Attempt     int             // 0 if absent.
 	Token       string          // Request in progress that a child call belongs to; empty if absent.
 	Traceparent string          // Empty if absent or malformed.
 }
@@ -36,7 +36,7 @@
 	c := Claims{
 		Customer:    r.token(HeaderCustomer, false),
 		Deadline:    time.Duration(r.number(HeaderDeadline, 1, MaxDeadline.Milliseconds(), 0, false)) * time.Millisecond,
-		Attempt:     int(r.number(HeaderAttempt, 1, MaxAttempt, 1, false)),
+		Attempt:     int(r.number(HeaderAttempt, 1, MaxAttempt, 0, false)),
 		Token:       r.token(HeaderRequest, false),
 		Traceparent: r.traceparent(),
 	}
@@ -89,13 +89,16 @@
 		Idempotent:  l.Idempotent,
 		Deadline:    now.Add(d),
 		Retries:     l.Retries,
-		Attempt:     max(1, c.Attempt),
+		Attempt:     c.Attempt,
 		ContentSize: -1,
 		Root:        c.Key.String(),
 	}
 	if !l.Idempotent {
 		spec.Key = c.Key
 	}
+	if spec.Key.IsZero() {
+		spec.Attempt = max(1, c.Attempt) // No earlier send can have had the key.
+	}
 	return spec
 }
 
--- a/core/request/dogcall/peer.go
+++ b/core/request/dogcall/peer.go
@@ -34,7 +34,7 @@
 		Deadline:    now.Add(time.Duration(ms) * time.Millisecond),
 		Retries:     int(r.number(HeaderRetries, 0, MaxRetries, 0, true)),
 		Hop:         int(r.number(HeaderHop, 0, MaxHop, 0, true)),
-		Attempt:     int(r.number(HeaderAttempt, 1, MaxAttempt, 1, false)),
+		Attempt:     int(r.number(HeaderAttempt, 1, MaxAttempt, 0, false)),
 		Key:         r.key(false),
 		ContentSize: -1,
 	}
@@ -67,7 +67,9 @@
 	setNumber(h, HeaderDeadline, ceilMs(s.Deadline.Sub(now)))
 	setNumber(h, HeaderRetries, int64(s.Retries))
 	setNumber(h, HeaderHop, int64(s.Hop))
-	setNumber(h, HeaderAttempt, int64(max(1, s.Attempt)))
+	if s.Attempt > 0 {
+		setNumber(h, HeaderAttempt, int64(s.Attempt))
+	}
 	if s.Digest != 0 {
 		set(h, HeaderDigest, fmt.Sprintf("%016x", s.Digest))
 	}
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -110,11 +110,10 @@
 func (t *Transport) Do(req *http.Request) (*http.Response, dogoutcome.Stage, error) {
 	forbidReplay(req)
 	c := &call{shared: t.protocol == HTTP2}
-	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
-	if c.shared {
-		trace.WroteHeaderField = func(string, []string) { c.headersStarted() }
-	}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn:          c.gotConn,
+		WroteHeaderField: func(string, []string) { c.headersStarted() },
+	}))
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
 		return nil, c.fail(req.Context()), fmt.Errorf("send to %s: %w", req.URL.Host, err)
@@ -169,12 +168,11 @@
 	}
 }
 
-// headersStarted is for shared connections. On a connection of its own the
-// count of writes is exact.
 func (c *call) headersStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written = true
+	// On a connection of its own the count of writes is exact.
+	c.written = c.written || c.shared || c.conn == nil
 }
 
 // fail returns the stage of a call that failed.
@@ -189,7 +187,7 @@
 	case c.shared && ctx.Err() != nil:
 		// HTTP/2 may still be about to write the headers of a cancelled call.
 		return dogoutcome.Written
-	case !c.shared && (c.conn == nil || !c.conn.seal(c.before)):
+	case c.conn != nil && !c.shared && !c.conn.seal(c.before):
 		return dogoutcome.Written
 	}
 	return dogoutcome.NothingWritten
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -29,6 +29,9 @@
 	ResendsUsedUp      = define(1108, "resends-used-up", slog.LevelInfo)
 	PeerKeyRejected    = define(1109, "peer-key-rejected", slog.LevelWarn)
 	RequestFinished    = define(1110, "request-finished", slog.LevelDebug)
+	KeyGivenTwice      = define(1111, "key-given-twice", slog.LevelWarn)
+	AnswerMalformed    = define(1112, "answer-malformed", slog.LevelWarn)
+	AnswerUnframed     = define(1113, "answer-unframed", slog.LevelWarn)
 )
 
 // Events of the target beside the node: 1200 to 1299.
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -57,6 +57,7 @@
 	RecordsHeld      = define("records_held", Gauge, "records")
 	RecordsReplayed  = define("records_replayed", Counter, "answers")
 	DuplicatesCaught = define("duplicates_caught", Counter, "requests")
+	MalformedAnswers = define("malformed_answers", Counter, "answers")
 )
 
 // Metrics of control.
--- /dev/null
+++ b/io/process/dognode/node.go
@@ -0,0 +1,305 @@
+package dognode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/core/process/dogpressure"
+	"dogwoodford/core/process/dogrecord"
+	"dogwoodford/core/request/dogroute"
+	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/process/dogpeer"
+	"dogwoodford/io/process/dogplatform"
+	"dogwoodford/io/process/dogsettings"
+	"dogwoodford/io/process/dogtrace"
+	"dogwoodford/io/request/doghttp"
+)
+
+const (
+	// asyncLimit bounds the calls that the control loop has started and that
+	// have not ended. Beyond it, calls wait, and the loop with them never does.
+	asyncLimit = 256
+	// stopTimeout bounds the end of the supervised parts after a drain.
+	stopTimeout = 5 * time.Second
+	// expireEvery is the interval at which old records are forgotten.
+	expireEvery = 5 * time.Second
+)
+
+// node is one node with all its parts.
+type node struct {
+	settings dogsettings.Settings
+	started  time.Time
+	logger   *slog.Logger
+	limited  *doglog.Limiter
+	metrics  *dogmetric.Set
+	tracer   *dogtrace.Tracer
+
+	platform *dogplatform.Client
+	peers    *dogpeer.Client
+
+	control     *control
+	records     *dogrecord.Records
+	gate        *doghttp.Gate
+	suspectGate *suspectGate
+	handlers    *doghttp.Handlers
+	target      *targetWatch
+	drain       *drain
+	servers     *servers
+
+	contractWatch *prefixWatch
+	drainWatch    *prefixWatch
+
+	ctx   context.Context // Of the calls that the control loop starts.
+	calls chan struct{}
+	wg    sync.WaitGroup
+}
+
+// Run runs a node until ctx ends, then drains it and returns. Log lines go to
+// out. The error is nil after a complete drain.
+func Run(ctx context.Context, settings dogsettings.Settings, out io.Writer) error {
+	n, err := newNode(ctx, settings, out)
+	if err != nil {
+		return fmt.Errorf("start node %s: %w", settings.Node.Name, err)
+	}
+	if err := n.servers.listen(); err != nil {
+		n.log(doglog.ListenFailed, doglog.Err(err))
+		return fmt.Errorf("start node %s: %w", settings.Node.Name, err)
+	}
+	// The parts outlive ctx, as they are needed for the drain.
+	base := context.WithoutCancel(ctx)
+	runCtx, cancel := context.WithCancel(base)
+	defer cancel()
+	n.ctx = runCtx
+	done := n.supervise(runCtx)
+	n.log(doglog.NodeStarted, attr("name", settings.Node.Name), attr("service", settings.Node.Service),
+		attr("data_centre", settings.Node.DataCentre))
+	<-ctx.Done()
+	n.drain.finish(base)
+	cancel()
+	close(n.control.ended)
+	n.await(done)
+	n.log(doglog.NodeStopped)
+	return nil
+}
+
+// await waits for the supervised parts and the calls in progress.
+func (n *node) await(done <-chan error) {
+	timeout := time.NewTimer(stopTimeout)
+	defer timeout.Stop()
+	select {
+	case <-done:
+	case <-timeout.C:
+	}
+	n.wg.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := n.tracer.Shutdown(ctx); err != nil {
+		n.log(doglog.TraceExportFailed, doglog.Err(err))
+	}
+	n.peers.Close()
+}
+
+func newNode(ctx context.Context, settings dogsettings.Settings, out io.Writer) (*node, error) {
+	started := time.Now()
+	tr, err := dogtrace.New(ctx, dogtrace.Config{
+		Exporter: settings.Trace.Exporter, Endpoint: settings.Trace.Endpoint,
+		Service: settings.Node.Service, Node: settings.Node.Name, DataCentre: settings.Node.DataCentre,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("traces: %w", err)
+	}
+	logger := doglog.New(out, settings.Log.Level, settings.Log.Format).
+		With(slog.String("node", settings.Node.Name))
+	n := &node{
+		settings: settings, started: started, logger: logger,
+		limited: doglog.NewLimiter(logger, 10*time.Second, 10),
+		metrics: dogmetric.NewSet(), tracer: tr,
+		records: dogrecord.New(dogrecord.Options{Answer: answerBytes}),
+		calls:   make(chan struct{}, asyncLimit),
+	}
+	n.platform = dogplatform.New(dogplatform.Options{Address: settings.Platform.Address, Rand: newRand()})
+	n.peers = dogpeer.NewClient(dogpeer.ClientOptions{Key: settings.Peer.Key, Node: settings.Node.Name})
+	n.gate = doghttp.NewGate(dogadmit.New(dogadmit.Options{Slots: settings.Target.Slots, Rand: newRand()}))
+	n.drain = &drain{n: n}
+	n.contractWatch = newPrefixWatch(n, contractPrefix, func(now time.Time, o object) { n.control.contractSeen(now, o) })
+	n.drainWatch = newPrefixWatch(n, drainPrefix, func(now time.Time, o object) { n.control.drainSeen(now, o) })
+	n.control = newControl(n, started, newRand())
+	n.suspectGate = newSuspectGate(n.control)
+	n.target = newTargetWatch(n)
+	n.handlers = doghttp.New(n.handlerConfig())
+	n.servers = newServers(n)
+	return n, nil
+}
+
+func (n *node) handlerConfig() doghttp.Config {
+	router := dogroute.New(dogroute.Options{DataCentre: n.settings.Node.DataCentre, Rand: newRand()})
+	return doghttp.Config{
+		Name: n.settings.Node.Name, Service: n.settings.Node.Service,
+		TargetAddress: n.settings.Target.Address, PeerKey: n.settings.Peer.Key,
+		Control: n.control, Gate: n.gate, Router: doghttp.NewBalancer(router),
+		Pressure: newPressure(dogpressure.New(dogpressure.Options{Rand: newRand()})),
+		Records:  ownerRecords{c: n.control}, Suspects: suspects{n: n},
+		Tracer: tracer{t: n.tracer}, Events: events{n: n}, Counters: counters{m: n.metrics},
+		Peers:  dogconn.NewPeer(dogconn.Options{}),
+		Target: dogconn.NewTarget(dogconn.Options{MaxConns: n.settings.Target.Connections}),
+	}
+}
+
+// supervise starts the long-lived parts under one supervisor.
+func (n *node) supervise(ctx context.Context) <-chan error {
+	sup := suture.New("node", suture.Spec{
+		EventHook: func(e suture.Event) {
+			n.log(doglog.ServiceRestarted, attr("event", e.String()))
+		},
+		Timeout: stopTimeout,
+	})
+	sup.Add(n.control)
+	sup.Add(n.target)
+	sup.Add(n.contractWatch)
+	sup.Add(n.drainWatch)
+	sup.Add(service{name: "expire", run: n.expire})
+	n.servers.addTo(sup)
+	return sup.ServeBackground(ctx)
+}
+
+// expire forgets old records, so that an idle owner frees its memory.
+func (n *node) expire(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, expireEvery)
+		n.records.Expire(time.Now())
+	}
+	return ctx.Err()
+}
+
+// service is a supervised function.
+type service struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in the supervisor's events.
+func (s service) String() string { return s.name }
+
+// async makes a call for the control loop without holding it up.
+func (n *node) async(f func(ctx context.Context)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		select {
+		case n.calls <- struct{}{}:
+		case <-n.ctx.Done():
+			return
+		}
+		defer func() { <-n.calls }()
+		f(n.ctx)
+	}()
+}
+
+// newRand returns a source of random numbers with a seed of its own.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// protocols are those of the listeners for requests.
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// server is one listener with its handler.
+type server struct {
+	name string
+	addr string
+	srv  *http.Server
+	ln   net.Listener
+}
+
+// servers are the listeners of a node.
+type servers struct {
+	all []*server
+}
+
+func newServers(n *node) *servers {
+	peer := http.NewServeMux()
+	path, h := dogpeer.NewHandler(peerHandler{c: n.control}, dogpeer.ServerOptions{Key: n.settings.Peer.Key})
+	peer.Handle(path, h)
+	peer.Handle("/", n.handlers.Peer())
+	l := n.settings.Listen
+	return &servers{all: []*server{
+		newServer("entry", l.Entry, n.handlers.Entry()),
+		newServer("exit", l.Exit, n.handlers.Exit()),
+		newServer("peer", l.Peer, peer),
+		newServer("admin", l.Admin, n.admin()),
+	}}
+}
+
+func newServer(name, addr string, h http.Handler) *server {
+	return &server{name: name, addr: addr, srv: &http.Server{
+		Handler:   h,
+		Protocols: protocols(),
+		// Bounds what a slow or idle caller holds; bodies have the deadline of
+		// their request.
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 1000},
+	}}
+}
+
+// listen opens all listeners, so that a node with a taken address fails at its
+// start.
+func (s *servers) listen() error {
+	for _, v := range s.all {
+		ln, err := net.Listen("tcp", v.addr)
+		if err != nil {
+			return fmt.Errorf("listen %s: %w", v.name, err)
+		}
+		v.ln = ln
+	}
+	return nil
+}
+
+func (s *servers) addTo(sup *suture.Supervisor) {
+	for _, v := range s.all {
+		sup.Add(service{name: v.name, run: v.serve})
+	}
+}
+
+func (v *server) serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- v.srv.Serve(v.ln) }()
+	select {
+	case err := <-failed:
+		if err == http.ErrServerClosed {
+			return suture.ErrDoNotRestart
+		}
+		return fmt.Errorf("serve %s: %w", v.name, err)
+	case <-ctx.Done():
+		_ = v.srv.Close() // After a drain nothing is in progress.
+		return ctx.Err()
+	}
+}
+
+// shutdown closes a listener and waits for its requests in progress.
+func (s *servers) shutdown(ctx context.Context, name string) {
+	for _, v := range s.all {
+		if v.name == name {
+			// The error is that of ctx, which the caller looks at.
+			_ = v.srv.Shutdown(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/io/process/dognode/pressure.go
@@ -0,0 +1,72 @@
+package dognode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogpressure"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/io/request/doghttp"
+)
+
+type object = dogwoodford.Object
+
+// pressure is a dogpressure.Table with its lock; it implements
+// doghttp.Pressure.
+type pressure struct {
+	mu    sync.Mutex
+	table *dogpressure.Table
+}
+
+func newPressure(t *dogpressure.Table) *pressure { return &pressure{table: t} }
+
+// Refuse reports whether a request is to be refused early, and a hint for the
+// caller.
+func (p *pressure) Refuse(now time.Time, r dogwoodford.Request) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.table.Admit(now, r)
+	return v.RetryAfter(), v.Action() == dogwoodford.Refuse
+}
+
+// Observe records a report of a guard.
+func (p *pressure) Observe(now time.Time, r dogwoodford.Request, node string, rep dogcall.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Reported(now, r, node, dogpressure.Report{Own: rep.Load.Cutoff, Below: rep.Called})
+}
+
+// Called returns the highest cutoff of the services that requests of the class
+// of r call beneath the own target.
+func (p *pressure) Called(now time.Time, r dogwoodford.Request) dogwoodford.Priority {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Upstream(now, r, 0).Below
+}
+
+// suspects implements doghttp.Suspects.
+type suspects struct{ n *node }
+
+// Enter decides whether a request may start at the target.
+func (s suspects) Enter(now time.Time, id string, digest uint64) dogwoodford.Verdict {
+	return s.n.suspectGate.Enter(now, id, digest)
+}
+
+// Leave ends what Enter let start. A request that broke off stays in progress
+// until the target has been looked at, so that it counts if the target died.
+func (s suspects) Leave(id string, end doghttp.End) {
+	switch end {
+	case doghttp.EndCompleted:
+		s.n.target.completed(time.Now())
+		s.n.suspectGate.Leave(id, true)
+	case doghttp.EndBroken:
+		s.n.async(func(context.Context) {
+			s.n.target.checkNow()
+			s.n.suspectGate.Leave(id, false)
+		})
+	default:
+		s.n.suspectGate.Leave(id, false)
+	}
+}
--- /dev/null
+++ b/io/process/dognode/snapshot.go
@@ -0,0 +1,90 @@
+package dognode
+
+import (
+	"net/http"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogrange"
+	"dogwoodford/core/process/dogsuspect"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/version/dogconfig"
+	"dogwoodford/core/version/dogcontract"
+	"dogwoodford/io/request/doghttp"
+)
+
+// snapshot is an immutable view of the control state; it implements
+// doghttp.Snapshot.
+type snapshot struct {
+	node     string
+	entries  map[string]dogconfig.Entry[*dogcontract.Contract]
+	targets  map[string][]dogwoodford.Target
+	table    *dogrange.Table
+	suspects *dogsuspect.View
+	draining bool
+}
+
+// Snapshot implements doghttp.Control.
+func (c *control) Snapshot() doghttp.Snapshot { return c.snap.Load() }
+
+// Configured reports whether any contract is in force.
+func (s *snapshot) Configured() bool { return len(s.entries) > 0 }
+
+// Contract returns the contract in force of a customer.
+func (s *snapshot) Contract(customer string) (doghttp.Contract, bool) {
+	e, ok := s.entries[customer]
+	if !ok {
+		return nil, false
+	}
+	return contract{c: e.Contract}, true
+}
+
+// Targets returns the targets of a service.
+func (s *snapshot) Targets(service string) []dogwoodford.Target { return s.targets[service] }
+
+// Owner returns the owner of the range of key.
+func (s *snapshot) Owner(service string, key dogwoodford.Key) (doghttp.Owner, bool) {
+	h, reason := s.table.Lookup(service, key, nil)
+	if reason != dogwoodford.ReasonNone {
+		return doghttp.Owner{}, false
+	}
+	return doghttp.Owner{Node: h.Node, Peer: h.Peer}, true
+}
+
+// Quarantined reports whether the content is quarantined, and for how long.
+func (s *snapshot) Quarantined(digest uint64) (time.Duration, bool) {
+	if digest == 0 {
+		return 0, false
+	}
+	now := time.Now()
+	e := s.suspects.Lookup(now, digest)
+	return e.Until.Sub(now), e.Standing == dogsuspect.Quarantined
+}
+
+// Draining reports whether this node takes no new work for its target.
+func (s *snapshot) Draining() bool { return s.draining }
+
+// contract implements doghttp.Contract.
+type contract struct{ c *dogcontract.Contract }
+
+func (c contract) Authorized(credential string) bool { return c.c.Authorized(credential) }
+
+func (c contract) Class(service, method, path string) (dogcall.Limits, bool) {
+	cl, ok := c.c.Match(service, method, path)
+	if !ok && method == http.MethodHead {
+		cl, ok = c.c.Match(service, http.MethodGet, path)
+	}
+	if !ok {
+		return dogcall.Limits{}, false
+	}
+	return dogcall.Limits{
+		Class:      cl.Name(),
+		Importance: cl.Importance(),
+		Idempotent: cl.Idempotent(),
+		Deadline:   cl.Deadline(),
+		Retries:    cl.Retries(),
+		MaxBody:    cl.MaxBody(),
+	}, true
+}
+
+func (c contract) Resend() (percent, burst int) { return c.c.ResendPercent(), c.c.ResendBurst() }
--- /dev/null
+++ b/io/process/dognode/watch.go
@@ -0,0 +1,125 @@
+package dognode
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogmember"
+	"dogwoodford/core/version/dogconfig"
+	"dogwoodford/io/process/doglog"
+)
+
+const drainPrefix = "drain/"
+
+// watchPause is the pause after a watch that failed. The platform client backs
+// off by itself while the platform is down.
+const watchPause = time.Second
+
+// prefixWatch holds one watch of the platform while this node is a watcher of
+// its data centre.
+type prefixWatch struct {
+	n      *node
+	prefix string
+	on     atomic.Bool
+	wake   chan struct{}
+	cancel atomic.Pointer[context.CancelFunc]
+	handle func(now time.Time, obj dogwoodford.Object)
+}
+
+func newPrefixWatch(n *node, prefix string, handle func(time.Time, dogwoodford.Object)) *prefixWatch {
+	return &prefixWatch{n: n, prefix: prefix, wake: make(chan struct{}, 1), handle: handle}
+}
+
+// String names the service in the supervisor's events.
+func (w *prefixWatch) String() string { return "watch " + w.prefix }
+
+// set starts or ends the watch. It does not block.
+func (w *prefixWatch) set(on bool) {
+	w.on.Store(on)
+	if cancel := w.cancel.Load(); cancel != nil && !on {
+		(*cancel)()
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Serve holds the watch until ctx ends.
+func (w *prefixWatch) Serve(ctx context.Context) error {
+	for {
+		if !w.on.Load() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-w.wake:
+			}
+			continue
+		}
+		w.follow(ctx)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+}
+
+// follow reports all objects, then each change, until the watch fails.
+func (w *prefixWatch) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.cancel.Store(&cancel)
+	var after int64
+	for w.on.Load() && ctx.Err() == nil {
+		objs, next, err := w.n.platform.Watch(ctx, w.prefix, after)
+		if err != nil {
+			if ctx.Err() == nil {
+				w.n.limited.Log(ctx, doglog.WatchFailed, attr("prefix", w.prefix), doglog.Err(err))
+				pause(ctx, watchPause)
+			}
+			return
+		}
+		after = next
+		w.n.control.post(func(now time.Time) {
+			for _, o := range objs {
+				w.handle(now, o)
+			}
+		})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *control) setWatch(on bool) {
+	c.n.contractWatch.set(on)
+	c.n.drainWatch.set(on)
+}
+
+func (c *control) contractSeen(now time.Time, obj dogwoodford.Object) {
+	c.onConfig(now, dogconfig.ObjectSeen{Object: obj})
+}
+
+func (c *control) drainSeen(now time.Time, obj dogwoodford.Object) {
+	node, ok := strings.CutPrefix(obj.Name, drainPrefix)
+	if !ok {
+		return
+	}
+	var mark dogmember.DrainMark
+	if obj.Version != 0 { // A deleted mark counts as withdrawn.
+		if err := json.Unmarshal(obj.Value, &mark); err != nil {
+			c.n.log(doglog.ObjectInvalid, attr("object", obj.Name), doglog.Err(err))
+			return
+		}
+	}
+	c.onMember(now, dogmember.MarkSeen{Node: node, Mark: mark})
+}
--- a/io/process/dogpeer/convert.go
+++ b/io/process/dogpeer/convert.go
@@ -160,6 +160,7 @@
 		Peer:        m.Peer,
 		State:       int32(m.State),
 		Slots:       int32(m.Slots),
+		Started:     m.Started,
 		Suspected:   m.Suspected,
 	}
 }
@@ -173,6 +174,7 @@
 		Peer:        p.GetPeer(),
 		State:       dogwoodford.State(p.GetState()),
 		Slots:       int(p.GetSlots()),
+		Started:     p.GetStarted(),
 		Suspected:   p.GetSuspected(),
 	}
 	err := firstError(
--- a/io/process/dogpeer/ranges.go
+++ b/io/process/dogpeer/ranges.go
@@ -107,12 +107,13 @@
 
 func encodeHandOver(h HandOver) *peerpb.HandOverRequest {
 	p := &peerpb.HandOverRequest{
-		Service: h.Service,
-		Number:  int32(h.Number),
-		Epoch:   h.Epoch,
-		StartMs: encodeTime(h.Start),
-		EndMs:   encodeTime(h.End),
-		Last:    h.Last,
+		Service:     h.Service,
+		Number:      int32(h.Number),
+		Epoch:       h.Epoch,
+		StartMs:     encodeTime(h.Start),
+		EndMs:       encodeTime(h.End),
+		Last:        h.Last,
+		Incarnation: h.Incarnation,
 	}
 	for _, r := range h.Records {
 		p.Records = append(p.Records, &peerpb.Record{
@@ -121,6 +122,8 @@
 			InProgress: r.InProgress,
 			Status:     int32(r.Status),
 			Answer:     r.Answer,
+			Scope:      r.Scope,
+			Attempt:    int32(r.Attempt),
 		})
 	}
 	return p
@@ -134,12 +137,13 @@
 		err = malformed("epoch, window or number of records")
 	}
 	h := HandOver{
-		Service: p.GetService(),
-		Number:  int(p.GetNumber()),
-		Epoch:   p.GetEpoch(),
-		Start:   start,
-		End:     end,
-		Last:    p.GetLast(),
+		Service:     p.GetService(),
+		Number:      int(p.GetNumber()),
+		Epoch:       p.GetEpoch(),
+		Start:       start,
+		End:         end,
+		Last:        p.GetLast(),
+		Incarnation: p.GetIncarnation(),
 	}
 	for i := 0; i < len(p.GetRecords()) && err == nil; i++ {
 		var r Record
@@ -170,6 +174,8 @@
 		InProgress: p.GetInProgress(),
 		Status:     int(p.GetStatus()),
 		Answer:     p.GetAnswer(),
+		Scope:      p.GetScope(),
+		Attempt:    int(p.GetAttempt()),
 	}, nil
 }
 
--- a/io/process/dogpeer/values.go
+++ b/io/process/dogpeer/values.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"dogwoodford"
 	"dogwoodford/core/process/dogmember"
+	"dogwoodford/core/process/dogrecord"
 	"dogwoodford/core/version/dogconfig"
 )
 
@@ -50,13 +50,7 @@
 }
 
 // Record is the fate of one key at its owner.
-type Record struct {
-	Key        dogwoodford.Key
-	Outcome    dogwoodford.Outcome
-	InProgress bool
-	Status     int
-	Answer     []byte
-}
+type Record = dogrecord.Record
 
 // HandOver is one part of the records of a key range.
 type HandOver struct {
@@ -66,6 +60,8 @@
 	Start, End time.Time
 	Records    []Record
 	Last       bool
+	// Incarnation is that of the process that is meant to take the range.
+	Incarnation uint64
 }
 
 // Grant answers a Promise or HandOver.
--- a/io/process/dogtrace/dogtrace.go
+++ b/io/process/dogtrace/dogtrace.go
@@ -148,17 +148,24 @@
 		kind = trace.SpanKindClient
 	}
 	ctx, span := t.tracer.Start(ctx, string(role), trace.WithSpanKind(kind))
-	if span.IsRecording() {
-		span.SetAttributes(
-			attribute.String("dogwoodford.customer", hop.Customer),
-			attribute.String("dogwoodford.service", hop.Service),
-			attribute.String("dogwoodford.class", hop.Class),
-			attribute.String("dogwoodford.root", hop.Root),
-			attribute.Int("dogwoodford.hop", hop.Depth),
-			attribute.Int("dogwoodford.attempt", hop.Attempt),
-		)
+	out := Span{span: span}
+	out.Describe(hop)
+	return ctx, out
+}
+
+// Describe names the hop once it is known; an empty hop changes nothing.
+func (s Span) Describe(hop Hop) {
+	if !s.span.IsRecording() || hop == (Hop{}) {
+		return
 	}
-	return ctx, Span{span: span}
+	s.span.SetAttributes(
+		attribute.String("dogwoodford.customer", hop.Customer),
+		attribute.String("dogwoodford.service", hop.Service),
+		attribute.String("dogwoodford.class", hop.Class),
+		attribute.String("dogwoodford.root", hop.Root),
+		attribute.Int("dogwoodford.hop", hop.Depth),
+		attribute.Int("dogwoodford.attempt", hop.Attempt),
+	)
 }
 
 // Inject writes the trace context of ctx into the headers of an outgoing
--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -134,7 +134,6 @@
 		e = truncated
 		h.cfg.Events.Event(x.ctx, EventTruncated, "", err)
 	}
-	x.abort = true
 	panic(http.ErrAbortHandler)
 }
 
@@ -151,12 +150,6 @@
 	if a.info.Reason == dogwoodford.ReasonCredential {
 		out.Set("Www-Authenticate", "Bearer")
 	}
-	if x.r.ProtoMajor == 1 && !x.body.hasEnded() {
-		// In full duplex, net/http panics on the connection if it finds the end
-		// of the request body only when it closes it, and then reads the next
-		// request.
-		out.Set("Connection", "close")
-	}
 	if a.resp != nil {
 		for k := range a.resp.Trailer {
 			out.Add("Trailer", k)
--- a/io/request/doghttp/control.go
+++ b/io/request/doghttp/control.go
@@ -51,14 +51,14 @@
 // Pressure holds the cutoffs reported by guards. It is safe for concurrent
 // use.
 type Pressure interface {
-	// Refuse reports whether a request is to be refused early, and a hint for
-	// the caller.
-	Refuse(now time.Time, service string, p dogwoodford.Priority) (time.Duration, bool)
-	// Observe records a report of a guard.
-	Observe(now time.Time, service, node string, r dogcall.Report)
-	// Called returns the highest cutoff of the services that this node's
-	// target calls.
-	Called(now time.Time) dogwoodford.Priority
+	// Refuse reports whether r is to be refused early, and a hint for the
+	// caller.
+	Refuse(now time.Time, r dogwoodford.Request) (time.Duration, bool)
+	// Observe records the report of the guard of node on r.
+	Observe(now time.Time, r dogwoodford.Request, node string, rep dogcall.Report)
+	// Called returns the highest cutoff of the services that requests of the
+	// class of r call beneath this node's target.
+	Called(now time.Time, r dogwoodford.Request) dogwoodford.Priority
 }
 
 // Records are the at-most-once records of this node as an owner. It is safe
@@ -66,9 +66,21 @@
 type Records interface {
 	// Begin decides on a key. If Run is set, the record is in progress and
 	// Finish must follow.
-	Begin(now time.Time, service string, key dogwoodford.Key) Begun
+	Begin(now time.Time, a KeyAttempt) Begun
 	// Finish ends what Begin started. answer is nil if none is to be kept.
-	Finish(now time.Time, service string, key dogwoodford.Key, o dogwoodford.Outcome, answer *Kept)
+	Finish(key dogwoodford.Key, o dogwoodford.Outcome, answer *Kept)
+}
+
+// KeyAttempt is a request to run a key.
+type KeyAttempt struct {
+	Key      dogwoodford.Key
+	Service  string
+	Customer string
+	Digest   uint64 // A kept answer is replayed for the same content only.
+	Attempt  int    // Number of the send by the caller, from 1; 0 if not told.
+	// Fresh is whether the sender vouches that no earlier attempt with the key
+	// can have run.
+	Fresh bool
 }
 
 // Begun is the decision of Records on a key.
@@ -94,12 +106,24 @@
 // Suspects isolates contents that may have crashed targets. It is safe for
 // concurrent use.
 type Suspects interface {
-	// Enter reports whether the content may run now. If it may, Leave must
-	// follow.
-	Enter(now time.Time, digest uint64) bool
-	Leave(now time.Time, digest uint64)
+	// Enter decides whether the request with this id and content may run now:
+	// Run, after which Leave must follow, or Refuse.
+	Enter(now time.Time, id string, digest uint64) dogwoodford.Verdict
+	Leave(id string, end End)
 }
 
+// End is how a request ended at the target.
+type End int
+
+const (
+	// EndNotRun requests did not start, or their caller went away.
+	EndNotRun End = iota
+	// EndCompleted requests were answered whole.
+	EndCompleted
+	// EndBroken requests were cut off by the target.
+	EndBroken
+)
+
 // Sender sends a call at most once; *dogconn.Transport is one.
 type Sender interface {
 	Do(req *http.Request) (*http.Response, dogoutcome.Stage, error)
--- a/io/request/doghttp/entry.go
+++ b/io/request/doghttp/entry.go
@@ -98,7 +98,7 @@
 func (h *Handlers) start(x *exchange, snap Snapshot, c *call, maxBody int64, ledger *dogretry.Ledger, begin func() *answer) *answer {
 	r := dogwoodford.NewRequest(c.spec)
 	x.span.Call(r)
-	if after, refuse := h.cfg.Pressure.Refuse(time.Now(), c.spec.Service, r.Priority()); refuse {
+	if after, refuse := h.cfg.Pressure.Refuse(time.Now(), r); refuse {
 		return c.refuse(dogwoodford.ReasonOverload, after)
 	}
 	if err := c.body.bound(maxBody); err != nil {
--- a/io/request/doghttp/exit.go
+++ b/io/request/doghttp/exit.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return badRequest(err)
 	}
+	if !c.fresh {
+		c.spec.Attempt = claims.Attempt
+	}
 	// The end of the parent request ends its child calls.
 	ctx, cancel := context.WithCancel(x.ctx)
 	stop := context.AfterFunc(p.ctx, cancel)
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -38,7 +38,8 @@
 	c.spec.Service = service
 	c.spec.ContentSize = x.body.length
 	c.epoch = p.Epoch
-	c.fresh = true // The owner decides for keys; the guard runs none twice.
+	// The guard runs no key twice; an owner must know what the sender knows.
+	c.fresh = x.role == RoleGuard || p.Spec.Attempt == 1
 	x.span.Call(dogwoodford.NewRequest(c.spec))
 	ctx, cancel := context.WithDeadline(x.ctx, c.spec.Deadline)
 	var a *answer
@@ -65,7 +66,7 @@
 // the report of the guard and the retries used.
 func (h *Handlers) guard(ctx context.Context, c *call) *answer {
 	a := h.guarded(ctx, c)
-	a.info.Report = &dogcall.Report{Load: h.cfg.Gate.Load(), Called: h.cfg.Pressure.Called(time.Now())}
+	a.info.Report = &dogcall.Report{Load: h.cfg.Gate.Load(), Called: h.cfg.Pressure.Called(time.Now(), dogwoodford.NewRequest(c.spec))}
 	return a
 }
 
@@ -82,23 +83,34 @@
 	if !spec.Key.IsZero() && now.Sub(spec.Key.Issued()) > keyAge {
 		return refusal(dogwoodford.Unknown, dogwoodford.ReasonKeyAge, 0)
 	}
-	if !h.cfg.Suspects.Enter(now, spec.Digest) {
-		return notRun(dogwoodford.ReasonIsolated)
+	spec.ID = newToken()
+	if v := h.cfg.Suspects.Enter(now, spec.ID, spec.Digest); v.Action() != dogwoodford.Run {
+		return refusal(dogwoodford.NotRun, v.Reason(), v.RetryAfter())
 	}
 	returned := false
 	defer func() {
 		if !returned { // A panic must not keep other suspects out.
-			h.cfg.Suspects.Leave(time.Now(), spec.Digest)
+			h.cfg.Suspects.Leave(spec.ID, EndBroken)
 		}
 	}()
-	spec.ID = newToken()
 	a := h.queue(ctx, c, dogwoodford.NewRequest(spec))
 	returned = true
 	c.x.track(a)
-	a.onEnd(func(ending) { h.cfg.Suspects.Leave(time.Now(), spec.Digest) })
+	a.onEnd(func(e ending) { h.cfg.Suspects.Leave(spec.ID, endOf(ctx, a, e)) })
 	return a
 }
 
+// endOf returns how a request ended at the target.
+func endOf(ctx context.Context, a *answer, e ending) End {
+	switch {
+	case a.info.Outcome == dogwoodford.Ran && e == whole:
+		return EndCompleted
+	case e == truncated, a.info.Outcome == dogwoodford.Unknown && a.info.Reason == dogwoodford.ReasonLost && ctx.Err() == nil:
+		return EndBroken
+	}
+	return EndNotRun
+}
+
 // queue waits for admission and runs the call.
 func (h *Handlers) queue(ctx context.Context, c *call, r dogwoodford.Request) *answer {
 	v := h.cfg.Gate.enter(ctx, r)
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -131,7 +131,6 @@
 	span  Span
 	body  *body
 	sent  bool // Headers of the answer were sent.
-	abort bool // The answer was broken off.
 	// answers are finished if the request panics, so that nothing that it holds
 	// is kept from other requests.
 	answers []*answer
@@ -149,7 +148,7 @@
 		x.ctx, x.traceparent, x.span = h.cfg.Tracer.Start(r.Context(), x.role, firstTraceparent(r.Header))
 		x.body = newBody(r, x.rc)
 		defer h.recover(x)
-		defer func() { x.body.stop(x.abort) }()
+		defer x.body.stop()
 		// Without it, HTTP/1.1 ends the request body when the answer starts.
 		// Other protocols do not need it and say that it is not supported.
 		if err := x.rc.EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -204,8 +203,8 @@
 // nothing stands for the optional parts that are not set.
 type nothing struct{}
 
-func (nothing) Enter(time.Time, uint64) bool { return true }
-func (nothing) Leave(time.Time, uint64)      {}
+func (nothing) Enter(time.Time, string, uint64) dogwoodford.Verdict { return dogwoodford.RunVerdict() }
+func (nothing) Leave(string, End)                                   {}
 
 func (nothing) Start(ctx context.Context, _ Role, traceparent string) (context.Context, string, Span) {
 	return ctx, traceparent, nothing{}
--- a/io/request/doghttp/owner.go
+++ b/io/request/doghttp/owner.go
@@ -42,10 +42,13 @@
 // owner runs a call at most once.
 func (h *Handlers) owner(ctx context.Context, snap Snapshot, c *call) *answer {
 	key, service := c.spec.Key, c.spec.Service
-	b := h.cfg.Records.Begin(time.Now(), service, key)
-	if b.Seen && c.spec.Attempt == 1 && !h.seenAllowed(snap, c.spec.Customer) {
+	b := h.cfg.Records.Begin(time.Now(), KeyAttempt{
+		Key: key, Service: service, Customer: c.spec.Customer, Digest: c.spec.Digest,
+		Attempt: c.spec.Attempt, Fresh: c.fresh,
+	})
+	if b.Seen && c.spec.Attempt <= 1 && !h.seenAllowed(snap, c.spec.Customer) {
 		if b.Run {
-			h.cfg.Records.Finish(time.Now(), service, key, dogwoodford.NotRun, nil)
+			h.cfg.Records.Finish(key, dogwoodford.NotRun, nil)
 			return notRun(dogwoodford.ReasonRetries)
 		}
 		return refusal(b.Outcome, dogwoodford.ReasonRetries, time.Second)
@@ -61,7 +64,7 @@
 	returned := false
 	defer func() {
 		if !returned { // A panic; how far the call came is not known.
-			h.cfg.Records.Finish(time.Now(), service, key, dogwoodford.Unknown, nil)
+			h.cfg.Records.Finish(key, dogwoodford.Unknown, nil)
 		}
 	}()
 	sub := *c
@@ -81,7 +84,7 @@
 		if e != whole || o != dogwoodford.Ran || len(kept.Body) > KeptBytes {
 			kept = nil
 		}
-		h.cfg.Records.Finish(time.Now(), service, key, o, kept)
+		h.cfg.Records.Finish(key, o, kept)
 	})
 	return a
 }
