--- a/io/request/doghttp/control.go
+++ b/io/request/doghttp/control.go
@@ -140,6 +140,7 @@
 	EventBadPeer      Event = "bad-peer"       // A call on the peer listener was not from a node.
 	EventDuplicate    Event = "duplicate-key"  // The guard was given a key twice.
 	EventBadAnswer    Event = "bad-answer"     // A node's answer had bad headers.
+	EventNoAnswer     Event = "no-answer"      // A call to a node or the target got no answer.
 	EventUnframed     Event = "unframed"       // A target's answer does not say where it ends.
 	EventTruncated    Event = "answer-aborted" // An answer broke off after its headers.
 )
--- a/io/request/doghttp/doghttp_test.go
+++ b/io/request/doghttp/doghttp_test.go
@@ -136,6 +136,9 @@
 		})
 	}
 	wg.Wait()
+	if t.Failed() {
+		t.Log(m.errs)
+	}
 	if ran.Load() < 100 {
 		t.Errorf("%d of 200 ran", ran.Load())
 	}
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -146,6 +146,7 @@
 	dogcall.FormatTarget(out.Header, p.req.Spec(), p.req.ID(), c.traceparent, time.Now())
 	resp, stage, err := h.cfg.Target.Do(out)
 	if err != nil {
+		h.cfg.Events.Event(ctx, EventNoAnswer, p.req.Root(), err)
 		a := failed(ctx, c, stage)
 		a.info.RetriesUsed = p.ledger.Close()
 		return a
--- a/io/request/doghttp/send.go
+++ b/io/request/doghttp/send.go
@@ -117,6 +117,7 @@
 		Format(out.Header, time.Now())
 	resp, stage, err := h.cfg.Peers.Do(out)
 	if err != nil {
+		h.cfg.Events.Event(ctx, EventNoAnswer, c.spec.Root, err)
 		return failed(ctx, c, stage)
 	}
 	info, err := dogcall.ParseAnswer(resp.Header)
