Keep the caps of several epochs in dogrecord

A range that came back to its owner and was handed over again within seconds replaced the cap of the older epoch, so a request held up between the table and Begin ran a key above it, which belonged to the successor. Change: a cap per epoch, at most 8, beyond which the oldest epoch is closed.

--- a/core/process/dogrecord/records.go
+++ b/core/process/dogrecord/records.go
@@ -229,8 +229,7 @@
 		at = max(at, r.shards[i].fences[number].newest+1)
 	}
 	for i := range r.shards {
-		f := &r.shards[i].fences[number]
-		f.capEpoch, f.capAt = epoch, at
+		r.shards[i].fences[number].setCap(epoch, at)
 	}
 	return at
 }
@@ -240,9 +239,7 @@
 	r.lockAll()
 	defer r.unlockAll()
 	for i := range r.shards {
-		if f := &r.shards[i].fences[number]; f.capEpoch == epoch {
-			f.capEpoch, f.capAt = 0, 0
-		}
+		r.shards[i].fences[number].liftCap(epoch)
 	}
 }
 
@@ -252,7 +249,7 @@
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
-		s.fences[number].closed = max(s.fences[number].closed, epoch)
+		s.fences[number].close(epoch)
 		s.mu.Unlock()
 	}
 }
--- a/core/process/dogrecord/records_test.go
+++ b/core/process/dogrecord/records_test.go
@@ -128,6 +128,10 @@
 	if d := r.Begin(t0, fresh(end-1)); !d.Run() {
 		t.Errorf("key below the cap: %+v", d)
 	}
+	r.Cap(n, 5, 0) // The range came back; the cap of the old epoch must hold.
+	if d := r.Begin(t0, fresh(end)); d.Answer != NotRun {
+		t.Errorf("key at the cap after the cap of a later epoch: %+v", d)
+	}
 	r.LiftCap(n, 3)
 	if d := r.Begin(t0, fresh(end)); !d.Run() {
 		t.Errorf("key after the cap was lifted: %+v", d)
--- a/core/process/dogrecord/shard.go
+++ b/core/process/dogrecord/shard.go
@@ -1,8 +1,10 @@
 package dogrecord
 
 import (
+	"cmp"
 	"hash/maphash"
 	"math"
+	"slices"
 	"sync"
 
 	"dogwoodford"
@@ -108,14 +110,44 @@
 
 // fence bounds what Begin admits in one range.
 type fence struct {
-	closed   int64 // Epochs up to this one begin nothing.
-	capEpoch int64 // Epoch that begins no key issued at or after capAt.
-	capAt    int64
-	newest   int64 // Newest issue time that was begun.
+	closed int64 // Epochs up to this one begin nothing.
+	newest int64 // Newest issue time that was begun.
+	caps   []epochCap
 }
 
+// epochCap bars the keys of an epoch issued at or after a time. A range that
+// comes back to its owner soon has caps of several epochs at once, as requests
+// with an older table may still be on their way to Begin.
+type epochCap struct{ epoch, at int64 }
+
+// maxCaps bounds the caps of a range; beyond it the oldest epoch is closed.
+const maxCaps = 8
+
 func (f *fence) admits(epoch, issued int64) bool {
-	return epoch > f.closed && (epoch != f.capEpoch || issued < f.capAt)
+	for _, c := range f.caps {
+		if c.epoch == epoch && issued >= c.at {
+			return false
+		}
+	}
+	return epoch > f.closed
+}
+
+func (f *fence) setCap(epoch, at int64) {
+	f.liftCap(epoch)
+	f.caps = append(f.caps, epochCap{epoch, at})
+	if len(f.caps) > maxCaps {
+		oldest := slices.MinFunc(f.caps, func(a, b epochCap) int { return cmp.Compare(a.epoch, b.epoch) })
+		f.close(oldest.epoch)
+	}
+}
+
+func (f *fence) liftCap(epoch int64) {
+	f.caps = slices.DeleteFunc(f.caps, func(c epochCap) bool { return c.epoch == epoch })
+}
+
+func (f *fence) close(epoch int64) {
+	f.closed = max(f.closed, epoch)
+	f.caps = slices.DeleteFunc(f.caps, func(c epochCap) bool { return c.epoch <= epoch })
 }
 
 type bucket map[dogwoodford.Key]record
