Find an owner that did not hear of its range

Cause: a recovery test (faults up to 30 s, calm up to 90 s) found 4 of 600 schedules in which a range stayed refused: its new owner had missed gossip and watch, and the witness had restarted. Ruled out: polling by every node at one rate, which grows with the fleet. Change: a transfer of records for an unknown epoch makes the receiver read; all nodes of a service together poll a range every 10 s.

--- a/core/process/dogrange/handover.go
+++ b/core/process/dogrange/handover.go
@@ -146,12 +146,21 @@
 	}
 }
 
+// maxReceived bounds the imports that wait for the knowledge of their window.
+const maxReceived = 16
+
 func (rs *Ranges) onRecordsReceived(ev RecordsReceived) {
 	if ev.Number < 0 || ev.Number >= len(rs.ranges) || ev.Incarnation != rs.cfg.Incarnation || ev.Start > ev.End {
 		return
 	}
 	kr := rs.ranges[ev.Number]
-	if !rs.merge(kr, ev) && len(kr.received) < maxPromises {
+	if rs.merge(kr, ev) {
+		return
+	}
+	// The sender takes this node for the next owner, which it may not have
+	// heard of yet.
+	kr.stale = kr.stale || ev.Epoch >= kr.val.Epoch
+	if len(kr.received) < maxReceived {
 		kr.received = append(kr.received, ev)
 	}
 }
--- a/core/process/dogrange/object.go
+++ b/core/process/dogrange/object.go
@@ -350,17 +350,25 @@
 // owner. An older version would mostly conflict.
 const freshMs = 500
 
-// pollEvery is the mean time between reads by the nodes that may have to act.
-// It covers lost gossip.
+// pollEvery is the mean time between reads by the witness, by the node that is
+// preferred as owner, and by all others of the service together. It covers
+// lost gossip: a node that does not know that it was made owner is found out
+// by nobody else once the witness is lost too.
 const pollEvery = 10 * time.Second
 
 func (rs *Ranges) poll(kr *keyRange) {
 	if rs.mine(kr) || rs.now < kr.pollAt {
 		return
 	}
-	kr.pollAt = rs.now + rs.jitter(pollEvery)
-	c, ok := rs.choose(kr.number, "")
-	if kr.val.Witness == rs.cfg.Node || ok && c.Node == rs.cfg.Node {
-		rs.read(kr)
+	first := kr.pollAt == 0
+	every := pollEvery
+	if c, ok := rs.choose(kr.number, ""); kr.val.Witness != rs.cfg.Node && (!ok || c.Node != rs.cfg.Node) {
+		every *= time.Duration(max(len(rs.ready), 1))
+	}
+	kr.pollAt = rs.now + rs.jitter(every)
+	if first {
+		kr.pollAt = rs.now + rs.rnd.Int64N(every.Milliseconds())
+		return
 	}
+	rs.read(kr)
 }
