Test the overload decisions and the replay

Cause: the decisions and the format had no tests. The whole traces run without the race detector by a second line of the unit target: the replay has one goroutine, and with the detector four of the full traces alone took 134 s.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 unit:
 	$(GO) test -race -count=1 ./...
+	$(GO) test -count=1 -run '^TestTraces' ./core/process/dogreplay
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/core/process/dogpressure/table_test.go
@@ -0,0 +1,106 @@
+package dogpressure
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwoodford"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newTable() *Table { return New(Options{Rand: rand.New(rand.NewPCG(1, 1))}) }
+
+func request(service, class string, importance, hop int) dogwoodford.Request {
+	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
+		Root: "root", Customer: "firm", Service: service, Class: class, Importance: importance, Hop: hop,
+	})
+}
+
+// Guards against refusing what some target admits, against reports that never
+// expire, and against refusing everything below the cutoff, without probes.
+func TestAdmit(t *testing.T) {
+	tab := newTable()
+	low := request("depot", "photo", 2, 0)
+	tab.Reported(start, low, "depot-1", Report{Own: 5 * dogwoodford.RankCount})
+	tab.Reported(start, low, "depot-2", Report{Own: 1 * dogwoodford.RankCount})
+	if v := tab.Admit(start, low); v.Action() != dogwoodford.Run {
+		t.Errorf("one target admits: %v, want Run", v.Action())
+	}
+	tab.Reported(start, low, "depot-2", Report{Own: 4 * dogwoodford.RankCount})
+	if got, want := tab.Cutoff(start, low), dogwoodford.Priority(4*dogwoodford.RankCount); got != want {
+		t.Errorf("cutoff %d, want the lower report %d", got, want)
+	}
+	probes := 0
+	const n = 64 * 100
+	for range n {
+		v := tab.Admit(start, low)
+		if v.Action() == dogwoodford.Run {
+			probes++
+		} else if v.Reason() != dogwoodford.ReasonOverload || v.RetryAfter() < time.Second || v.RetryAfter() >= 2*time.Second {
+			t.Fatalf("refusal %q with hint %v", v.Reason(), v.RetryAfter())
+		}
+	}
+	if probes < 60 || probes > 140 {
+		t.Errorf("%d of %d passed as probes, want about 100", probes, n)
+	}
+	if v := tab.Admit(start, request("depot", "sheet", 7, 0)); v.Action() != dogwoodford.Run {
+		t.Errorf("priority above the cutoff: %v, want Run", v.Action())
+	}
+	if got := tab.Cutoff(start.Add(DefaultExpiry), low); got != 0 {
+		t.Errorf("cutoff after expiry %d, want 0", got)
+	}
+}
+
+// Guards against a cutoff that is not passed up the call tree, or that hits
+// classes which do not call the overloaded service.
+func TestUpstream(t *testing.T) {
+	const high = 6 * dogwoodford.RankCount
+	billing, entry := newTable(), newTable()
+	child := request("depot", "photo", 2, 2)
+	billing.Admit(start, child)
+	billing.Reported(start, child, "depot-1", Report{Own: high})
+
+	photo, sheet := request("billing", "photo", 2, 1), request("billing", "sheet", 3, 1)
+	rep := billing.Upstream(start, photo, 9)
+	if rep.Own != 9 || rep.Below != high {
+		t.Errorf("report %+v, want own 9 and below %d", rep, high)
+	}
+	if got := billing.Upstream(start, sheet, 9); got.Below != 0 {
+		t.Errorf("class without the call reports below %d, want 0", got.Below)
+	}
+	entry.Reported(start, photo, "billing-1", rep)
+	if got := entry.Cutoff(start, photo); got != high {
+		t.Errorf("cutoff for the class %d, want %d", got, high)
+	}
+	if got := entry.Cutoff(start, sheet); got != 9 {
+		t.Errorf("cutoff for the other class %d, want 9", got)
+	}
+	entry.Reported(start, photo, "billing-1", Report{})
+	if got := entry.Cutoff(start, photo); got != 0 {
+		t.Errorf("cutoff after the report is withdrawn %d, want 0", got)
+	}
+}
+
+// Guards against a cutoff that two nodes keep alive by reporting it to each
+// other: each is an entry for a class that the other serves further down.
+func TestNoEcho(t *testing.T) {
+	a, b := newTable(), newTable()
+	entryA, entryB := request("b", "x", 2, 0), request("a", "x", 2, 0)
+	const high = 6 * dogwoodford.RankCount
+	now := start
+	a.Admit(now, entryA)
+	b.Admit(now, entryB)
+	a.Reported(now, entryA, "b", Report{Below: high})
+	for range 10 {
+		now = now.Add(time.Second)
+		a.Admit(now, entryA)
+		b.Admit(now, entryB)
+		b.Reported(now, entryB, "a", a.Upstream(now, entryB, 0))
+		a.Reported(now, entryA, "b", b.Upstream(now, entryA, 0))
+	}
+	if got := a.Cutoff(now, entryA); got != 0 {
+		t.Errorf("cutoff %d after 10 s without a source, want 0", got)
+	}
+}
--- a/core/process/dogreplay/sim.go
+++ b/core/process/dogreplay/sim.go
@@ -109,6 +109,12 @@
 
 // Run replays a trace under a policy.
 func Run(t *Trace, p Policy, seed uint64) *Result {
+	s := newSim(t, p, seed)
+	s.runUntil(t.length + tail)
+	return s.result(seed)
+}
+
+func newSim(t *Trace, p Policy, seed uint64) *sim {
 	s := &sim{
 		t: t, policy: p,
 		arrivals: rand.New(rand.NewPCG(seed, 1)),
@@ -120,12 +126,15 @@
 		s.arrive(c)
 	}
 	s.scheduleFaults()
-	for len(s.events) > 0 && s.events[0].at <= t.length+tail {
+	return s
+}
+
+func (s *sim) runUntil(end time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= end {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.run()
 	}
-	return s.result(seed)
 }
 
 func (s *sim) time() time.Time { return epoch.Add(s.now) }
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -116,10 +116,17 @@
 		best := rt.choose(list[:local])
 		// A local target that fails often must not keep its whole data centre.
 		if best.use < full && rt.opts.Rand.Float64() < best.weight || local == len(list) {
-			return best.target, dogwoodford.ReasonNone
+			return rt.picked(now, best), dogwoodford.ReasonNone
 		}
 	}
-	return rt.choose(list).target, dogwoodford.ReasonNone
+	return rt.picked(now, rt.choose(list)), dogwoodford.ReasonNone
+}
+
+// picked notes where a node is, as the records of its answers need it.
+func (rt *Router) picked(now time.Time, c candidate) dogwoodford.Target {
+	n := rt.node(c.target.Node)
+	n.dc, n.usedAt = c.target.DataCentre, now
+	return c.target
 }
 
 // Sent records a dispatch.
@@ -204,7 +211,6 @@
 	}
 	limit, busy := t.Slots, 0
 	if n := rt.nodes[t.Node]; n != nil {
-		n.dc = t.DataCentre
 		ok := 1 - n.rate(now)
 		c.weight *= ok * ok
 		busy = n.inFlight
