--- a/io/request/doghttp/doghttp_test.go
+++ b/io/request/doghttp/doghttp_test.go
@@ -171,6 +171,99 @@
 	}
 }
 
+// callChild makes a child call of the request r at a target.
+func callChild(t *testing.T, m *mesh, r *http.Request, path string) {
+	token := r.Header.Get(dogcall.HeaderRequest)
+	exit := m.exits[0]
+	if m.nodes[1].lookup(token) != nil {
+		exit = m.exits[1]
+	}
+	// Without the context of r, so that only the exit passes its end on.
+	out := newRequest(t, r.Method, exit+"/rounds"+path, nil)
+	out.Header.Set(dogcall.HeaderRequest, token)
+	do(t, out)
+}
+
+// Guards against retries that multiply over the hops of a call tree.
+func TestRetriesOverHops(t *testing.T) {
+	var m *mesh
+	var runs, calls atomic.Int32
+	m = serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/4" {
+			w.Header().Set(dogcall.HeaderOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		var wg sync.WaitGroup
+		for range 2 {
+			calls.Add(1)
+			wg.Go(func() { callChild(t, m, r, fmt.Sprintf("/%c", r.URL.Path[1]+1)) })
+			if r.URL.Path != "/2" { // Units of the first child call may return.
+				wg.Wait()
+			}
+		}
+		wg.Wait()
+		if r.Method == "GET" {
+			panic(http.ErrAbortHandler) // Tried elsewhere, as it is idempotent.
+		}
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	for _, method := range []string{"GET", "POST"} {
+		runs.Store(0)
+		calls.Store(1)
+		do(t, newRequest(t, method, m.entry+"/rounds/1", nil))
+		if extra := runs.Load() - calls.Load(); extra < 1 || extra > 3 {
+			t.Errorf("%s: %d attempts beyond the first, want 1 to 3", method, extra)
+		}
+	}
+}
+
+// Guards against child calls that go on after their customer request has
+// ended.
+func TestChildCallEndsWithItsParent(t *testing.T) {
+	var m *mesh
+	ctx, cancel := context.WithCancel(t.Context())
+	childEnded := make(chan struct{})
+	m = serveTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/parent" {
+			callChild(t, m, r, "/child")
+			return
+		}
+		cancel()
+		<-r.Context().Done()
+		close(childEnded)
+	})
+	if _, err := http.DefaultTransport.RoundTrip(newRequest(t, "GET", m.entry+"/rounds/parent", nil).WithContext(ctx)); err == nil {
+		t.Error("caller that left got an answer")
+	}
+	<-childEnded
+}
+
+// Guards against trailers of a request that are lost on the way, and against a
+// request without an announced trailer that passes as whole.
+func TestRequestTrailers(t *testing.T) {
+	m := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(w, "X-Sum=%s %v", r.Trailer.Get("X-Sum"), err)
+	})
+	for _, c := range []struct {
+		size int
+		sum  []string
+		want string
+	}{
+		{10, []string{"7"}, "200 ran - X-Sum=7 <nil>"},
+		{100_000, []string{"7"}, "200 ran - X-Sum=7 <nil>"},
+		{10, nil, "400 not-run bad-request -"},
+	} {
+		r := newRequest(t, "POST", m.entry+"/rounds/photos", io.MultiReader(bytes.NewReader(make([]byte, c.size))))
+		r.Trailer = http.Header{"X-Sum": c.sum}
+		if got := do(t, r); got != c.want {
+			t.Errorf("%d bytes, trailer %q: got %q, want %q", c.size, c.sum, got, c.want)
+		}
+	}
+}
+
 // Guards against a second run of one key: sent again by the caller, at once or
 // later, or dispatched twice to a guard.
 func TestAtMostOnce(t *testing.T) {
@@ -211,11 +304,13 @@
 // its request held.
 func TestPanicAnswersOneRequest(t *testing.T) {
 	m := serveTarget(t, func(http.ResponseWriter, *http.Request) {})
-	m.panics = true
-	first := do(t, newRequest(t, "GET", m.entry+"/rounds/sheets/1", nil))
-	second := do(t, newRequest(t, "GET", m.entry+"/rounds/sheets/1", nil))
-	if first != "500 unknown internal -" || second != "200 ran - -" || !slices.Contains(m.events, EventPanic) {
-		t.Errorf("first %q, second %q, events %v", first, second, m.events)
+	for _, in := range []string{"router", "pressure"} {
+		m.panics = in
+		first := do(t, newRequest(t, "POST", m.entry+"/rounds/sheets/1", nil))
+		second := do(t, newRequest(t, "POST", m.entry+"/rounds/sheets/1", nil))
+		if first != "500 unknown internal -" || second != "200 ran - -" || !slices.Contains(m.events, EventPanic) {
+			t.Errorf("panic in %s: first %q, second %q, events %v", in, first, second, m.events)
+		}
 	}
 	for _, h := range m.nodes {
 		if l := h.cfg.Gate.Load(); l.InFlight != 0 || len(h.InProgress()) != 0 {
@@ -260,8 +355,47 @@
 	})
 }
 
+// BenchmarkCall compares calls that pass entry, guard and target, over three
+// connections, with calls to the target itself.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{100, 10 << 10, 1 << 20} {
+		data := make([]byte, size)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(data) }))
+		b.Cleanup(s.Close)
+		m := newMesh(b, strings.TrimPrefix(s.URL, "http://"))
+		for _, to := range []struct{ name, url string }{{"direct", s.URL}, {"mesh", m.entry}} {
+			b.Run(fmt.Sprintf("%s/bytes=%d", to.name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					resp, err := http.DefaultTransport.RoundTrip(newRequest(b, "GET", to.url+"/rounds/sheets/1", nil))
+					if err != nil {
+						b.Fatal(err)
+					}
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			})
+		}
+	}
+}
+
 func ExampleNew() {
 	defer func() { fmt.Println(recover()) }()
 	New(Config{Name: "rounds-1"})
 	// Output: doghttp: name, service, target address and peer key are required
 }
+
+// Guards against a refusal that turns into a lost answer, and thus from "not
+// run" into "unknown", as the sender is still busy with the body.
+func TestLargeUploadIsRefusedAsNotRun(t *testing.T) {
+	m := serveTarget(t, func(http.ResponseWriter, *http.Request) { t.Error("target was reached") })
+	m.set["draining"] = true
+	for i := range 20 {
+		// The server reads on to the end of the shorter ones only.
+		size := []int{3 << 20, 200 << 10}[i%2]
+		got := do(t, newRequest(t, "POST", m.entry+"/rounds/photos", bytes.NewReader(make([]byte, size))))
+		if got != "503 not-run draining -" {
+			t.Errorf("upload %d: %s", i, got)
+		}
+	}
+}
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,7 +29,7 @@
 	set     map[string]bool
 	records map[dogwoodford.Key]Begun
 	events  []Event
-	panics  bool // Router.Pick panics once.
+	panics  string // What panics once: router or pressure.
 }
 
 func (c *control) is(flag string) bool {
@@ -36,6 +38,15 @@
 	return c.set[flag]
 }
 
+func (c *control) panicOnce(in string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.panics == in {
+		c.panics = ""
+		panic(in)
+	}
+}
+
 func (c *control) Snapshot() Snapshot { return c }
 func (c *control) Configured() bool   { return !c.is("no-config") }
 func (c *control) Draining() bool     { return c.is("draining") }
@@ -52,8 +63,10 @@
 func (c *control) Refuse(time.Time, dogwoodford.Request) (time.Duration, bool) {
 	return time.Second, c.is("cutoff")
 }
-func (c *control) Observe(time.Time, dogwoodford.Request, string, dogcall.Report) {}
-func (c *control) Called(time.Time, dogwoodford.Request) dogwoodford.Priority     { return 0 }
+func (c *control) Observe(time.Time, dogwoodford.Request, string, dogcall.Report) {
+	c.panicOnce("pressure")
+}
+func (c *control) Called(time.Time, dogwoodford.Request) dogwoodford.Priority { return 0 }
 func (c *control) Event(_ context.Context, e Event, _ string, _ error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,10 +110,7 @@
 type router struct{ c *control }
 
 func (r router) Pick(_ time.Time, _ dogwoodford.Request, targets []dogwoodford.Target, tried []string) (dogwoodford.Target, dogwoodford.Reason) {
-	if r.c.panics {
-		r.c.panics = false
-		panic("router")
-	}
+	r.c.panicOnce("router")
 	for _, t := range targets {
 		if !strings.Contains(strings.Join(tried, " "), t.Node) {
 			return t, dogwoodford.ReasonNone
@@ -164,11 +174,24 @@
 	nodes []*Handlers // Those of rounds.
 }
 
-func newMesh(t *testing.T, target string) *mesh {
+// panicLog fails the test if net/http panics on a connection outside of a
+// handler, which it only logs.
+type panicLog struct{ t testing.TB }
+
+func (l panicLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("panic serving")) {
+		l.t.Errorf("%s", p)
+	}
+	return len(p), nil
+}
+
+func newMesh(t testing.TB, target string) *mesh {
 	c := &control{set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
 	m := &mesh{control: c}
 	listen := func(h http.Handler) string {
-		s := httptest.NewServer(h)
+		s := httptest.NewUnstartedServer(h)
+		s.Config.ErrorLog = log.New(panicLog{t}, "", 0)
+		s.Start()
 		t.Cleanup(s.Close)
 		return s.URL
 	}
@@ -221,6 +244,7 @@
 	"header-cut":      "200 OK\r\nContent-Le",
 	"short":           "200 OK\r\nContent-Length: 10\r\n\r\npart",
 	"chunk-cut":       "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	"long-cut":        "200 OK\r\nContent-Length: 100000\r\n\r\npart",
 	"unframed":        "200 OK\r\n\r\nperhaps all",
 }
 
