doghttp: follow a key range that changes hands

Ruled out: spending units of the retry budget on it. The refusing owner has dispatched nothing, and the number of owners asked is bounded. Waiting in the owner, which cannot know the next one sooner than the entry.

Change: a call that is refused for the range looks the owner up again, up to 12 times within about 4 s and its deadline. A key that was made by the node itself is made anew in a range that has an owner.

Figures: the new test is refused for the range before the change and answered after two owners that do not have the range, with the whole retry budget.

--- a/io/request/doghttp/call.go
+++ b/io/request/doghttp/call.go
@@ -35,6 +35,8 @@
 	epoch       int64
 	// fresh is whether no earlier attempt of the key can have run.
 	fresh bool
+	// minted is whether the key was made here.
+	minted bool
 }
 
 func newCall(x *exchange, u *url.URL) *call {
--- a/io/request/doghttp/doghttp_test.go
+++ b/io/request/doghttp/doghttp_test.go
@@ -399,3 +399,41 @@
 		}
 	}
 }
+
+// Guards against refusals while a key range changes hands: the next owner must
+// be asked, without a unit of the retry budget, and a given key must stay the
+// same.
+func TestRangeChangesHands(t *testing.T) {
+	for _, given := range []string{"", dogwoodford.MakeKey(time.Now(), 1, 2).String()} {
+		var runs atomic.Int32
+		m := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			fmt.Fprint(w, r.Header.Get(dogcall.HeaderRetries))
+		})
+		m.moved = 2
+		r := newRequest(t, "POST", m.entry+"/rounds/invoices", strings.NewReader("invoice"))
+		if given != "" {
+			r.Header.Set(dogcall.HeaderKey, given)
+			r.Header.Set(dogcall.HeaderAttempt, "1")
+		}
+		// All three units of the class reach the target.
+		if got := do(t, r); got != "200 ran - 3" || runs.Load() != 1 {
+			t.Errorf("key %q: got %q after %d runs", given, got, runs.Load())
+		}
+		if _, ok := m.records[mustKey(t, given)]; given != "" && !ok {
+			t.Errorf("key %s was replaced", given)
+		}
+	}
+}
+
+func mustKey(t *testing.T, s string) dogwoodford.Key {
+	t.Helper()
+	if s == "" {
+		return dogwoodford.Key{}
+	}
+	k, err := dogwoodford.ParseKey(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
--- a/io/request/doghttp/entry.go
+++ b/io/request/doghttp/entry.go
@@ -48,7 +48,7 @@
 		c.spec.Retries = 0
 	}
 	if !c.spec.Idempotent && c.spec.Key.IsZero() {
-		c.spec.Key = mint(snap, service, now)
+		c.spec.Key, c.minted = mint(snap, service, now), true
 		c.spec.Root = c.spec.Key.String()
 	}
 	if c.spec.Root == "" {
--- a/io/request/doghttp/exit.go
+++ b/io/request/doghttp/exit.go
@@ -44,10 +44,10 @@
 	}
 	c.fresh = claims.Attempt == 1
 	key := claims.Key
-	if key.IsZero() || key.String() == p.req.Root() {
+	if key.IsZero() || key == p.req.Key() || key.String() == p.req.Root() {
 		// A target that repeats the key of its own request does not mean the
 		// child call, as two child calls would then be one.
-		key, c.fresh = mint(snap, service, now), true
+		key, c.fresh, c.minted = mint(snap, service, now), true, true
 	}
 	c.spec, err = dogcall.Child(p.req, dogcall.ChildSpec{
 		Service: service, Idempotent: limits.Idempotent, Retries: share.Units(),
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -28,6 +28,7 @@
 	targets []dogwoodford.Target
 	set     map[string]bool
 	records map[dogwoodford.Key]Begun
+	moved   int // Owners asked before one has the range.
 	events  []Event
 	panics  string // What panics once: router or pressure.
 }
@@ -75,6 +76,10 @@
 
 func (c *control) Begin(_ time.Time, a KeyAttempt) Begun {
 	k := a.Key
+	if c.moved > 0 { // The range is on its way to this owner.
+		c.moved--
+		return Begun{Outcome: dogwoodford.NotRun, Reason: dogwoodford.ReasonRange}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b, seen := c.records[k]
--- a/io/request/doghttp/owner.go
+++ b/io/request/doghttp/owner.go
@@ -8,17 +8,55 @@
 	"dogwoodford/core/request/dogretry"
 )
 
+const (
+	// ownerTries bounds how often the owner of a call is looked up. With the
+	// pauses, a call waits about 4 s for a range that changes hands.
+	ownerTries = 12
+	// firstOwnerPause is longer than a message between data centres takes; the
+	// pauses double up to lastOwnerPause.
+	firstOwnerPause = 50 * time.Millisecond
+	lastOwnerPause  = 400 * time.Millisecond
+)
+
 // toOwner sends a non-idempotent call to the owner of its key range, with all
-// that is left in the ledger.
+// that is left in the ledger. An owner that no longer has the range has
+// dispatched nothing, so asking the next one is no further attempt at a target
+// and costs no unit.
 func (h *Handlers) toOwner(ctx context.Context, snap Snapshot, c *call, ledger *dogretry.Ledger) *answer {
 	share := ledger.Attempt(true)
 	sub := *c
 	sub.spec.Retries = share.Units()
 	a := h.fromOwner(ctx, snap, &sub)
+	pause := firstOwnerPause
+	for try := 1; try < ownerTries && a.info.Reason == dogwoodford.ReasonRange && c.body.replayable(); try++ {
+		if !wait(ctx, pause) {
+			break
+		}
+		pause = min(2*pause, lastOwnerPause)
+		a.finish(aborted)
+		snap = h.cfg.Control.Snapshot()
+		if c.minted {
+			// Nobody else knows the key, so another range will do.
+			sub.spec.Key = mint(snap, c.spec.Service, time.Now())
+		}
+		a = h.fromOwner(ctx, snap, &sub)
+	}
 	share.Settle(a.info.RetriesUsed)
 	return a
 }
 
+// wait reports whether ctx lasted for d.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (h *Handlers) fromOwner(ctx context.Context, snap Snapshot, c *call) *answer {
 	o, ok := snap.Owner(c.spec.Service, c.spec.Key)
 	if !ok {
