Tell a restarted node the incarnation to exceed

Cause: a node that restarts with a clock that is behind has a lower incarnation than its former process. If that process had ended more than 10 min before, no answer told the node so, and the others ignored it for up to 12 h.

Ruled out: a lease or counter in the platform for incarnations, as a node must start while the platform is down.

Change: the answer to a pull always holds the caller's own record.

Conclusion: such a node rejoins with its first pull.

--- a/core/process/dogmember/script_test.go
+++ b/core/process/dogmember/script_test.go
@@ -1,57 +1,25 @@
 package dogmember_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
-
 	"dogwoodford"
 	"dogwoodford/core/process/dogmember"
+	"dogwoodford/internal/dogscript"
 )
 
-var update = flag.Bool("update", false, "write the results into the scripts")
-
 // TestScripts runs the scripts in testdata against the membership of node "n1".
-// Each says in its comment which failure it guards against. The file "script"
-// holds one command per line, the file "want" the commands with their results.
 func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
-			ar, err := txtar.ParseFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &script{now: time.UnixMilli(1_000_000)}
-			for line := range strings.Lines(string(ar.Files[0].Data)) {
-				s.out.WriteString("> " + line)
-				s.run(t, strings.Fields(line))
-			}
-			if *update {
-				ar.Files = append(ar.Files[:1], txtar.File{Name: "want", Data: []byte(s.out.String())})
-				if err := os.WriteFile(path, txtar.Format(ar), 0o644); err != nil {
-					t.Fatal(err)
-				}
-				return
-			}
-			if diff := cmp.Diff(string(ar.Files[1].Data), s.out.String()); diff != "" {
-				t.Errorf("results differ (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.Run(t, func(out *strings.Builder) func(t *testing.T, words []string) {
+		s := &script{now: time.UnixMilli(1_000_000), out: out}
+		return s.run
+	})
 }
 
 type script struct {
@@ -59,7 +27,7 @@
 	m    *dogmember.Membership
 	last uint64   // ID of the last Probe.
 	acks []string // Peers that answer probes at once.
-	out  strings.Builder
+	out  *strings.Builder
 }
 
 func record(name string, incarnation uint64, state dogwoodford.State) dogmember.Member {
@@ -98,24 +66,24 @@
 				s.event(dogmember.ProbeAnswered{ID: a.ID})
 				continue
 			}
-			fmt.Fprintf(&s.out, "  %v probe %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
+			fmt.Fprintf(s.out, "  %v probe %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
 		case dogmember.ProbeVia:
-			fmt.Fprintf(&s.out, "  %v probe %s via %s\n", at, a.Peer, a.Via)
+			fmt.Fprintf(s.out, "  %v probe %s via %s\n", at, a.Peer, a.Via)
 		case dogmember.Notify:
-			fmt.Fprintf(&s.out, "  %v notify %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
+			fmt.Fprintf(s.out, "  %v notify %s: %s\n", at, a.Peer, showUpdates(a.Message.Updates))
 		case dogmember.Reply:
-			fmt.Fprintf(&s.out, "  reply %s\n", showUpdates(a.Message.Updates))
+			fmt.Fprintf(s.out, "  reply %s\n", showUpdates(a.Message.Updates))
 		case dogmember.PullReply:
-			fmt.Fprintf(&s.out, "  pull reply all=%v %s\n", a.All, showUpdates(a.Updates))
+			fmt.Fprintf(s.out, "  pull reply all=%v %s\n", a.All, showUpdates(a.Updates))
 		case dogmember.Pull:
-			fmt.Fprintf(&s.out, "  %v pull %s, %d parts\n", at, a.Peer, len(a.Parts))
+			fmt.Fprintf(s.out, "  %v pull %s, %d parts\n", at, a.Peer, len(a.Parts))
 		case dogmember.MemberFailed:
-			fmt.Fprintf(&s.out, "  %v failed %s\n", at, a.Member.Node)
+			fmt.Fprintf(s.out, "  %v failed %s\n", at, a.Member.Node)
 		case dogmember.WriteSeeds:
-			fmt.Fprintf(&s.out, "  %v write %s expecting %d: %s\n", at, a.Name, a.Expected, a.Value)
+			fmt.Fprintf(s.out, "  %v write %s expecting %d: %s\n", at, a.Name, a.Expected, a.Value)
 		case dogmember.Changed:
 		default:
-			fmt.Fprintf(&s.out, "  %v %T %v\n", at, a, a)
+			fmt.Fprintf(s.out, "  %v %T %v\n", at, a, a)
 		}
 	}
 }
@@ -144,7 +112,8 @@
 
 // run executes one command: new [platform] [SEED...]; acks PEER...; wait D; heard MEMBER...;
 // probed FROM MEMBER...; answer MEMBER... (to the last probe); miss; via
-// true|false; pulled MEMBER...; nopull PEER; self STATE; mark NODE MILLIS; seeds
+// true|false; pulled PEER MEMBER...; pull FROM MEMBER;
+// nopull PEER; self STATE; mark NODE MILLIS; seeds
 // PREFIX VERSION NODE...; seeds PREFIX error; wrote ok|conflict; members; targets.
 func (s *script) run(t *testing.T, w []string) {
 	t.Helper()
@@ -185,6 +154,9 @@
 		s.event(dogmember.ProbeViaAnswered{ID: s.last, Alive: w[1] == "true"})
 	case "pulled":
 		s.event(dogmember.PullAnswered{Peer: w[1], Updates: members(w[2:])})
+	case "pull":
+		self := members(w[2:])[0].Value.(dogmember.Member)
+		s.event(dogmember.PullArrived{From: w[1], Self: &self})
 	case "nopull":
 		s.event(dogmember.PullFailed{Peer: w[1]})
 	case "self":
@@ -206,7 +178,7 @@
 		}
 	case "targets":
 		for _, x := range s.m.Targets(s.now)["rounds"] {
-			fmt.Fprintf(&s.out, "  %s %v seen %v ago\n", x.Node, x.State, s.now.Sub(x.Seen))
+			fmt.Fprintf(s.out, "  %s %v seen %v ago\n", x.Node, x.State, s.now.Sub(x.Seen))
 		}
 	default:
 		t.Fatalf("unknown command %q", w[0])
--- a/core/process/dogmember/sync.go
+++ b/core/process/dogmember/sync.go
@@ -122,6 +122,12 @@
 	parts := m.parts(len(ev.Parts))
 	var recs []Member
 	for _, e := range m.entries {
+		if e.rec.Node == ev.From {
+			// The caller's own record is always told: after a restart with a
+			// clock that is behind, it must exceed the incarnation known here.
+			recs = append(recs, e.rec)
+			continue
+		}
 		if !e.endedAt.IsZero() && now.Sub(e.endedAt) > toldEnded {
 			continue
 		}
--- a/core/process/dogsuspect/script_test.go
+++ b/core/process/dogsuspect/script_test.go
@@ -1,62 +1,30 @@
 package dogsuspect_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
-
 	"dogwoodford"
 	"dogwoodford/core/process/dogsuspect"
+	"dogwoodford/internal/dogscript"
 )
 
-var update = flag.Bool("update", false, "write the results into the scripts")
-
-// TestScripts runs the scripts in testdata. Each says in its comment which
-// failure it guards against. The file "script" holds one command per line, the
-// file "want" the commands with their results.
+// TestScripts runs the scripts in testdata.
 func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
-			ar, err := txtar.ParseFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &script{now: time.Unix(1e6, 0), s: dogsuspect.New(dogsuspect.Options{}), g: dogsuspect.NewGate()}
-			for line := range strings.Lines(string(ar.Files[0].Data)) {
-				s.out.WriteString("> " + line)
-				s.run(t, strings.Fields(line))
-			}
-			if *update {
-				ar.Files = append(ar.Files[:1], txtar.File{Name: "want", Data: []byte(s.out.String())})
-				if err := os.WriteFile(path, txtar.Format(ar), 0o644); err != nil {
-					t.Fatal(err)
-				}
-				return
-			}
-			if diff := cmp.Diff(string(ar.Files[1].Data), s.out.String()); diff != "" {
-				t.Errorf("results differ (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.Run(t, func(out *strings.Builder) func(t *testing.T, words []string) {
+		s := &script{now: time.Unix(1e6, 0), s: dogsuspect.New(dogsuspect.Options{}), g: dogsuspect.NewGate(), out: out}
+		return s.run
+	})
 }
 
 type script struct {
 	now time.Time
 	s   *dogsuspect.Suspects
 	g   *dogsuspect.Gate
-	out strings.Builder
+	out *strings.Builder
 }
 
 func digests(words []string) []uint64 {
@@ -75,11 +43,11 @@
 	for _, a := range s.s.OnEvent(s.now, ev) {
 		switch a := a.(type) {
 		case dogsuspect.Spread:
-			fmt.Fprintf(&s.out, "  spread kind=%d %s %v\n", a.Report.Kind, a.Report.Death, a.Report.Digests)
+			fmt.Fprintf(s.out, "  spread kind=%d %s %v\n", a.Report.Kind, a.Report.Death, a.Report.Digests)
 		case dogsuspect.Changed:
 			s.view()
 		case dogsuspect.QuarantineBegun:
-			fmt.Fprintf(&s.out, "  quarantine %d\n", a.Entry.Digest)
+			fmt.Fprintf(s.out, "  quarantine %d\n", a.Entry.Digest)
 		}
 	}
 }
@@ -87,7 +55,7 @@
 func (s *script) view() {
 	s.out.WriteString("  view")
 	for _, e := range s.s.View().Entries() {
-		fmt.Fprintf(&s.out, " %d:%v/%d", e.Digest, e.Standing, e.Deaths)
+		fmt.Fprintf(s.out, " %d:%v/%d", e.Digest, e.Standing, e.Deaths)
 	}
 	s.out.WriteString("\n")
 }
@@ -115,7 +83,7 @@
 		if v.Action() == dogwoodford.Run {
 			s.out.WriteString("  run\n")
 		} else {
-			fmt.Fprintf(&s.out, "  refuse %s %v\n", v.Reason(), v.RetryAfter())
+			fmt.Fprintf(s.out, "  refuse %s %v\n", v.Reason(), v.RetryAfter())
 		}
 	case "done":
 		if d, cleared := s.g.Done(s.now, s.s.View(), words[1], words[2] == "ok"); cleared {
--- a/core/version/dogconfig/script_test.go
+++ b/core/version/dogconfig/script_test.go
@@ -2,25 +2,20 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
 
 	"dogwoodford"
 	"dogwoodford/core/version/dogconfig"
+	"dogwoodford/internal/dogscript"
 )
 
-var update = flag.Bool("update", false, "write the results into the scripts")
-
 // parse reads texts of the form "customer generation note". The note "bad" does
 // not parse.
 func parse(text []byte) (dogconfig.Parsed[string], error) {
@@ -40,43 +35,18 @@
 	return []byte(customer + " " + number + " " + note)
 }
 
-// TestScripts runs the scripts in testdata. Each says in its comment which
-// failure it guards against. The file "script" holds one command per line, the
-// file "want" the commands with their results.
+// TestScripts runs the scripts in testdata.
 func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
-			ar, err := txtar.ParseFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &script{now: time.Unix(1e6, 0), c: newConfig(1)}
-			for line := range strings.Lines(string(ar.Files[0].Data)) {
-				s.out.WriteString("> " + line)
-				s.run(t, strings.Fields(line))
-			}
-			if *update {
-				ar.Files = append(ar.Files[:1], txtar.File{Name: "want", Data: []byte(s.out.String())})
-				if err := os.WriteFile(path, txtar.Format(ar), 0o644); err != nil {
-					t.Fatal(err)
-				}
-				return
-			}
-			if diff := cmp.Diff(string(ar.Files[1].Data), s.out.String()); diff != "" {
-				t.Errorf("results differ (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.Run(t, func(out *strings.Builder) func(t *testing.T, words []string) {
+		s := &script{now: time.Unix(1e6, 0), c: newConfig(1), out: out}
+		return s.run
+	})
 }
 
 type script struct {
 	now time.Time
 	c   *dogconfig.Config[string]
-	out strings.Builder
+	out *strings.Builder
 }
 
 func (s *script) event(ev dogconfig.Event) {
@@ -84,14 +54,14 @@
 		switch a := a.(type) {
 		case dogconfig.InForce:
 			e := s.c.Snapshot()[a.Generation.Customer]
-			fmt.Fprintf(&s.out, "  in force %s %d %s\n", e.Customer, e.Number, e.Contract)
+			fmt.Fprintf(s.out, "  in force %s %d %s\n", e.Customer, e.Number, e.Contract)
 		case dogconfig.Report:
-			fmt.Fprintf(&s.out, "  report %v %s have %d got %d from %s\n",
+			fmt.Fprintf(s.out, "  report %v %s have %d got %d from %s\n",
 				a.Kind, a.Customer, a.Have.Number, a.Got.Number, a.Source)
 		case dogconfig.WriteBack:
-			fmt.Fprintf(&s.out, "  write back %s expecting %d: %s\n", a.Customer, a.Expected, a.Text)
+			fmt.Fprintf(s.out, "  write back %s expecting %d: %s\n", a.Customer, a.Expected, a.Text)
 		default:
-			fmt.Fprintf(&s.out, "  %T %v\n", a, a)
+			fmt.Fprintf(s.out, "  %T %v\n", a, a)
 		}
 	}
 }
