--- a/core/process/dogmember/merge.go
+++ b/core/process/dogmember/merge.go
@@ -279,9 +279,9 @@
 	if rec.State == ev.State && rec.Slots == ev.Slots {
 		return
 	}
-	// Draining is never taken back: a target that reports ready again while its
-	// node drains gets no new work.
-	if rank(ev.State) >= rank(rec.State) {
+	// The end of a node is never taken back; a drain is if the target has been
+	// replaced. The driver tells no other state once the node itself drains.
+	if rec.State != dogwoodford.Left {
 		rec.State = ev.State
 	}
 	rec.Slots = ev.Slots
