Let a node take work again when its drained target has been replaced

Cause: dogmember never took back the state draining, so that a target that was drained and replaced by another process got no work until its node restarted.

Ruled out: taking back every drain. A drain by the platform's mark, and that of the node itself, stay.

Change: SelfChanged may lead from draining to ready unless the mark began the drain. Records of a key range are closed after the last key in progress has ended, as dogrange asks.

Conclusion: targets can be replaced without their nodes.

--- a/core/process/dogmember/membership.go
+++ b/core/process/dogmember/membership.go
@@ -12,6 +12,7 @@
 // Membership is the membership as one node knows it. It is not safe for
 // concurrent use.
 type Membership struct {
+	marked  bool // The platform's mark began a drain of this node.
 	opt     Options
 	self    *entry
 	entries map[string]*entry
--- a/core/process/dogmember/merge.go
+++ b/core/process/dogmember/merge.go
@@ -279,9 +279,9 @@
 	if rec.State == ev.State && rec.Slots == ev.Slots {
 		return
 	}
-	// The end of a node is never taken back; a drain is if the target has been
-	// replaced. The driver tells no other state once the node itself drains.
-	if rec.State != dogwoodford.Left {
+	// A drain that the platform's mark began is not taken back. One that the
+	// target began is, when another process has taken the target's place.
+	if rank(ev.State) >= rank(rec.State) || !m.marked && rec.State == dogwoodford.Draining {
 		rec.State = ev.State
 	}
 	rec.Slots = ev.Slots
@@ -291,6 +291,7 @@
 }
 
 func (m *Membership) beginDrain(now time.Time) {
+	m.marked = true
 	rec := m.self.rec
 	rec.State = dogwoodford.Draining
 	m.setSelf(now, rec)
--- a/io/process/dognode/ranges.go
+++ b/io/process/dognode/ranges.go
@@ -44,7 +44,6 @@
 	case dogrange.LiftCap:
 		c.n.records.LiftCap(a.Number, a.Epoch)
 	case dogrange.SendRecords:
-		c.n.records.Close(a.Number, a.Epoch)
 		c.n.async(func(ctx context.Context) { c.sendRecords(ctx, a) })
 	case dogrange.Gossip:
 		c.gossipRange(now, a)
@@ -100,6 +99,7 @@
 	}
 	err := ctx.Err()
 	if err == nil {
+		c.n.records.Close(a.Number, a.Epoch)
 		err = c.handOver(ctx, a)
 	}
 	if err != nil {
