--- a/core/request/dogroute/rendezvous.go
+++ b/core/request/dogroute/rendezvous.go
@@ -56,7 +56,8 @@
 func (rt *Router) cutOff(now time.Time, targets []dogwoodford.Target) map[string]bool {
 	type count struct{ all, failed int }
 	counts := make(map[string]count)
-	for _, t := range targets {
+	for i := range targets {
+		t := &targets[i]
 		c := counts[t.DataCentre]
 		c.all++
 		if t.State == dogwoodford.Failed {
@@ -82,7 +83,8 @@
 	var names [2]string
 	var scores [2]uint64
 	cut := rt.cutOff(now, targets)
-	for _, t := range targets {
+	for i := range targets {
+		t := &targets[i]
 		if t.Service != r.Service() || cut[t.DataCentre] || !rt.present(now, t) {
 			continue
 		}
@@ -99,7 +101,7 @@
 }
 
 // present reports whether a target counts for the two-target rule.
-func (rt *Router) present(now time.Time, t dogwoodford.Target) bool {
+func (rt *Router) present(now time.Time, t *dogwoodford.Target) bool {
 	switch t.State {
 	case dogwoodford.Draining, dogwoodford.Left:
 		return false
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -58,7 +58,7 @@
 
 // candidate is a target that may be picked.
 type candidate struct {
-	target dogwoodford.Target
+	target *dogwoodford.Target
 	weight float64
 	use    float64 // Share of the limit in use.
 }
@@ -97,7 +97,8 @@
 		two = rt.rendezvous(now, r, targets)
 	}
 	list := rt.scratch[:0]
-	for _, t := range targets {
+	for i := range targets {
+		t := &targets[i]
 		if t.Service != r.Service() || t.State != dogwoodford.Ready || slices.Contains(tried, t.Node) || rt.declined(now, t.Node) {
 			continue
 		}
@@ -126,7 +127,7 @@
 func (rt *Router) picked(now time.Time, c candidate) dogwoodford.Target {
 	n := rt.node(c.target.Node)
 	n.dc, n.usedAt = c.target.DataCentre, now
-	return c.target
+	return *c.target
 }
 
 // Sent records a dispatch.
@@ -201,7 +202,7 @@
 	return n != nil && n.fresh(now) && n.load.Limit == 0
 }
 
-func (rt *Router) candidate(now time.Time, t dogwoodford.Target) candidate {
+func (rt *Router) candidate(now time.Time, t *dogwoodford.Target) candidate {
 	c := candidate{target: t, weight: 1}
 	if age := now.Sub(t.Since); age < rt.opts.SlowStart {
 		c.weight = max(0, float64(age)/float64(rt.opts.SlowStart))
