--- a/core/process/dogreplay/traces_test.go
+++ b/core/process/dogreplay/traces_test.go
@@ -8,7 +8,7 @@
 )
 
 // The tests of this file replay whole traces. The replay has one goroutine, so
-// the race detector finds nothing in it and makes it eight times slower; the
+// the race detector finds nothing in it and makes it several times slower; the
 // Makefile runs them without it.
 
 // Guards against a policy that no longer meets the objectives of design section
