dogpressure: say that requests must carry their hop

Cause: the assembly has to set the hop of child calls, and only an unexported comment said so. Change: a paragraph in the package documentation. Conclusion: no change of behaviour.

--- a/core/process/dogpressure/doc.go
+++ b/core/process/dogpressure/doc.go
@@ -10,6 +10,10 @@
 // of the same root class call beneath that target; it applies to that class
 // only, because other classes may not need these services.
 //
+// Requests must carry the hop of their call, 0 at the entry and one more for
+// each child call. The table keeps reports beneath a target by hop, or nodes
+// would hear their own reports back.
+//
 // # Usage
 //
 //	t := dogpressure.New(dogpressure.Options{Rand: rng})
