doghttp: report the time of child calls and drained targets to the policy

Cause: a target that waits for a slow callee looked slow itself, so that its own guard lowered its limit; in the demo, requests that do not call the slow service were refused too. A refusal for drain told the router nothing.

Ruled out: the service time that targets report themselves, as their load endpoints mislead.

Change: the guard tells the admission the part of the latency in which child calls were in progress, and reports a limit of 0 while it drains.

--- a/io/request/doghttp/exit.go
+++ b/io/request/doghttp/exit.go
@@ -63,13 +63,14 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	stop := context.AfterFunc(p.ctx, cancel)
 	x.ctx = ctx
+	p.children.begin(now)
 	a := h.start(x, snap, c, limits.MaxBody, ledger, func() *answer {
 		if !share.Dispatched() {
 			return notRun(dogwoodford.ReasonCancelled)
 		}
 		return nil
 	})
-	a.onEnd(func(ending) { stop(); cancel() })
+	a.onEnd(func(ending) { stop(); cancel(); p.children.end(time.Now()) })
 	return a
 }
 
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -67,6 +67,9 @@
 func (h *Handlers) guard(ctx context.Context, c *call) *answer {
 	a := h.guarded(ctx, c)
 	a.info.Report = &dogcall.Report{Load: h.cfg.Gate.Load(), Called: h.cfg.Pressure.Called(time.Now(), dogwoodford.NewRequest(c.spec))}
+	if a.info.Reason == dogwoodford.ReasonDraining {
+		a.info.Report.Load.Limit = 0 // Routers take it for "no new work".
+	}
 	return a
 }
 
@@ -140,8 +143,10 @@
 	}
 	a.onEnd(func(e ending) {
 		h.unregister(r.ID())
+		now := time.Now()
 		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{
-			Latency:   time.Since(start),
+			Latency:   now.Sub(start),
+			Children:  p.children.elapsed(now),
 			Failed:    e == truncated || a.status >= 500,
 			Cancelled: e == aborted || ctx.Err() == context.Canceled,
 		})
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -52,6 +52,44 @@
 	req         dogwoodford.Request
 	ledger      *dogretry.Ledger
 	traceparent string
+	children    stopwatch
+}
+
+// stopwatch adds up the time in which at least one child call was in progress.
+// It is safe for concurrent use.
+type stopwatch struct {
+	mu      sync.Mutex
+	running int
+	since   time.Time
+	total   time.Duration
+}
+
+func (s *stopwatch) begin(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == 0 {
+		s.since = now
+	}
+	s.running++
+}
+
+func (s *stopwatch) end(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if s.running == 0 {
+		s.total += now.Sub(s.since)
+	}
+}
+
+// elapsed returns the time until now.
+func (s *stopwatch) elapsed(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running > 0 {
+		return s.total + now.Sub(s.since)
+	}
+	return s.total
 }
 
 // New returns the handlers. It panics if a required field is not set.
