Ask both holders of a key; end only live jobs in the demo

Cause: a key issued before a handover, sent after it, was looked up at the old owner only. It refused for the range until the call gave up after about 4 s. The demo ended processes by ids that other processes may have by then.

Ruled out: taking the previous owner out of the table at the handover, as it has the key while the records are under way.

Change: the look-up of an owner leaves out the nodes already asked, and starts anew after a pause. The demo ends its running jobs only, and keeps its logs if DEMO_LOGS names a folder.

--- a/io/process/dognode/snapshot.go
+++ b/io/process/dognode/snapshot.go
@@ -42,9 +42,9 @@
 // Targets returns the targets of a service.
 func (s *snapshot) Targets(service string) []dogwoodford.Target { return s.targets[service] }
 
-// Owner returns the owner of the range of key.
-func (s *snapshot) Owner(service string, key dogwoodford.Key) (doghttp.Owner, bool) {
-	h, reason := s.table.Lookup(service, key, nil)
+// Owner returns a node that may hold the key.
+func (s *snapshot) Owner(service string, key dogwoodford.Key, tried []string) (doghttp.Owner, bool) {
+	h, reason := s.table.Lookup(service, key, tried)
 	if reason != dogwoodford.ReasonNone {
 		return doghttp.Owner{}, false
 	}
--- a/io/request/doghttp/call.go
+++ b/io/request/doghttp/call.go
@@ -165,7 +165,7 @@
 	var k dogwoodford.Key
 	for range draws {
 		k = dogwoodford.MakeKey(now, mathrand.Uint64(), mathrand.Uint64())
-		if _, ok := snap.Owner(service, k); ok {
+		if _, ok := snap.Owner(service, k, nil); ok {
 			break
 		}
 	}
--- a/io/request/doghttp/control.go
+++ b/io/request/doghttp/control.go
@@ -24,8 +24,9 @@
 	Contract(customer string) (Contract, bool)
 	// Targets returns the targets of a service. The slice is not changed.
 	Targets(service string) []dogwoodford.Target
-	// Owner returns the owner of the range of key.
-	Owner(service string, key dogwoodford.Key) (Owner, bool)
+	// Owner returns a node that may hold the key, leaving out the nodes in
+	// tried. Besides the owner of the range, the one before it may.
+	Owner(service string, key dogwoodford.Key, tried []string) (Owner, bool)
 	// Quarantined reports whether the content is quarantined, and for how long.
 	Quarantined(digest uint64) (time.Duration, bool)
 	// Draining reports whether this node takes no new work.
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -55,8 +56,13 @@
 	return contract{}, customer == "firm-1"
 }
 func (c *control) Targets(string) []dogwoodford.Target { return c.targets }
-func (c *control) Owner(string, dogwoodford.Key) (Owner, bool) {
-	return Owner{Node: c.targets[0].Node, Peer: c.targets[0].Peer}, !c.is("no-owner")
+func (c *control) Owner(_ string, _ dogwoodford.Key, tried []string) (Owner, bool) {
+	for _, t := range c.targets {
+		if !slices.Contains(tried, t.Node) {
+			return Owner{Node: t.Node, Peer: t.Peer}, !c.is("no-owner")
+		}
+	}
+	return Owner{}, false
 }
 func (c *control) Quarantined(uint64) (time.Duration, bool) {
 	return time.Minute, c.is("quarantine")
--- a/io/request/doghttp/owner.go
+++ b/io/request/doghttp/owner.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// ownerTries bounds how often the owner of a call is looked up. With the
-	// pauses, a call waits about 4 s for a range that changes hands.
-	ownerTries = 12
+	// ownerTries bounds how often the owner of a call is looked up. Most tries
+	// are in pairs, owner and nobody left; with the pauses between pairs, a call
+	// waits about 4 s for a range that changes hands.
+	ownerTries = 24
 	// firstOwnerPause is longer than a message between data centres takes; the
 	// pauses double up to lastOwnerPause.
 	firstOwnerPause = 50 * time.Millisecond
@@ -19,27 +20,42 @@
 )
 
 // toOwner sends a non-idempotent call to the owner of its key range, with all
-// that is left in the ledger. An owner that no longer has the range has
+// that is left in the ledger. An owner that does not have the key has
 // dispatched nothing, so asking the next one is no further attempt at a target
 // and costs no unit.
 func (h *Handlers) toOwner(ctx context.Context, snap Snapshot, c *call, ledger *dogretry.Ledger) *answer {
 	share := ledger.Attempt(true)
 	sub := *c
 	sub.spec.Retries = share.Units()
-	a := h.fromOwner(ctx, snap, &sub)
 	pause := firstOwnerPause
-	for try := 1; try < ownerTries && a.info.Reason == dogwoodford.ReasonRange && c.body.replayable(); try++ {
+	var tried []string
+	var a *answer
+	for try := 1; ; try++ {
+		o, ok := snap.Owner(sub.spec.Service, sub.spec.Key, tried)
+		if ok {
+			if a != nil {
+				a.finish(aborted)
+			}
+			a = h.fromOwner(ctx, snap, &sub, o)
+			tried = append(tried, o.Node)
+		} else if a == nil {
+			a = sub.refuse(dogwoodford.ReasonRange, time.Second)
+		}
+		if try == ownerTries || a.info.Reason != dogwoodford.ReasonRange || !c.body.replayable() {
+			break
+		}
+		if ok {
+			continue // The holder before or after it may have the key.
+		}
 		if !wait(ctx, pause) {
 			break
 		}
 		pause = min(2*pause, lastOwnerPause)
-		a.finish(aborted)
-		snap = h.cfg.Control.Snapshot()
+		snap, tried = h.cfg.Control.Snapshot(), nil
 		if c.minted {
 			// Nobody else knows the key, so another range will do.
 			sub.spec.Key = mint(snap, c.spec.Service, time.Now())
 		}
-		a = h.fromOwner(ctx, snap, &sub)
 	}
 	share.Settle(a.info.RetriesUsed)
 	return a
@@ -57,11 +73,7 @@
 	}
 }
 
-func (h *Handlers) fromOwner(ctx context.Context, snap Snapshot, c *call) *answer {
-	o, ok := snap.Owner(c.spec.Service, c.spec.Key)
-	if !ok {
-		return c.refuse(dogwoodford.ReasonRange, time.Second)
-	}
+func (h *Handlers) fromOwner(ctx context.Context, snap Snapshot, c *call, o Owner) *answer {
 	if o.Node == h.cfg.Name {
 		return h.owner(ctx, snap, c)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,14 +9,16 @@
 bin=bin
 base=${DEMO_PORT:-27000} # First of 64 ports on 127.0.0.1.
 work=$(mktemp -d)
-pids=()
 declare -A pid_of
 
 stop() {
 	local code=$?
 	if [ $code -ne 0 ]; then tail -n 5 "$work"/*.log; fi
-	for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-	for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+	# Only jobs that still run: the id of one that has ended may belong to
+	# another process by now.
+	for p in $(jobs -pr); do kill "$p" 2>/dev/null || true; done
+	wait
+	if [ -n "${DEMO_LOGS:-}" ]; then cp -r "$work" "$DEMO_LOGS"; fi
 	rm -rf "$work"
 }
 trap stop EXIT
@@ -26,7 +28,6 @@
 	local name=$1
 	shift
 	"$@" >"$work/$name.log" 2>&1 &
-	pids+=($!)
 	pid_of[$name]=$!
 }
 
@@ -123,7 +124,6 @@
 2 stock-count GET /depot/stock/{n}
 2 report GET /rounds/reports/{n}" >"$work/table.txt" &
 load=$!
-pids+=($load)
 sleep 4
 for w in 3 4; do "$bin/dogfake" call POST "http://127.0.0.1:$(port $w 4)/control/slow" '{"ms":150}' >/dev/null; done
 sleep 4
