--- a/cmd/dogfake/internal/faketarget/request.go
+++ b/cmd/dogfake/internal/faketarget/request.go
@@ -43,12 +43,29 @@
 		return
 	}
 	defer t.release()
+	if err := t.journal(r); err != nil {
+		refuse(w, err.Error())
+		return
+	}
 	t.record(r, func(n *Counts) { n.Started++ })
 	if t.run(ctx, w, r) {
 		t.record(r, func(n *Counts) { n.Completed++ })
 	}
 }
 
+// journal writes the start of a request down before it runs, as the counts of
+// the process are lost when it is killed.
+func (t *Target) journal(r *http.Request) error {
+	if t.cfg.Journal == nil {
+		return nil
+	}
+	_, err := fmt.Fprintf(t.cfg.Journal, "%q %q\n", r.Header.Get("Dogwoodford-Key"), r.Header.Get(IDHeader))
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
 // run does the work of a request that holds a slot. It reports whether the
 // work was completed.
 func (t *Target) run(ctx context.Context, w http.ResponseWriter, r *http.Request) bool {
--- a/cmd/dogfake/internal/faketarget/target.go
+++ b/cmd/dogfake/internal/faketarget/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -24,6 +25,7 @@
 	Client    *http.Client  // Client for child calls; a default if nil.
 	Crash     func()        // Ends the process at once.
 	Stop      func()        // Ends the process as planned, after a drain.
+	Journal   io.Writer     // Takes a line with key and id of each request that starts; nil for none.
 }
 
 // coldFactor is how much slower the service is during a cold start.
--- a/cmd/dogfake/target.go
+++ b/cmd/dogfake/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -31,6 +32,7 @@
 			&cli.StringFlag{Name: "calls", Usage: "child calls: a file, or PREFIX sequence|parallel METHOD PATH ..."},
 			&cli.IntFlag{Name: "retries", Usage: "blind retries of a failed child call"},
 			&cli.StringFlag{Name: "crash-on", Value: "CRASH-TARGET", Usage: "content that crashes the target"},
+			&cli.StringFlag{Name: "journal", Usage: "file that gets a line with key and id of each request that starts"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the jitter"},
 		},
 		Action: runTarget,
@@ -50,6 +52,15 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	var journal io.Writer
+	if name := cmd.String("journal"); name != "" {
+		f, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+		defer f.Close()
+		journal = f
+	}
 	t := faketarget.New(faketarget.Config{
 		Service:   cmd.String("service"),
 		Slots:     cmd.Int("slots"),
@@ -63,6 +74,7 @@
 		Seed:      cmd.Uint64("seed"),
 		Crash:     func() { os.Exit(crashStatus) },
 		Stop:      stop,
+		Journal:   journal,
 	})
 	return serve(ctx, newServer(t), cmd.String("listen"), func(ctx context.Context) {
 		t.Drain(ctx, cmd.Duration("drain-grace"))
