Run what ends a request from the inside out

Cause: the functions that end an answer ran in reverse order, so the cancel of the context ran first. The inner parts look at that context: each request seemed cancelled by its caller. A request that broke off at the death of its target was no suspect, router and admission took broken requests for cancelled ones. Ruled out: the reading of the health endpoint that reports the death (it came, with in_progress 0). Change: the first function added runs first. Before: TestCrashingRequest: both targets that died reported no request in progress, and the request was never quarantined within 30 s (no-target after two deaths). After: quarantined at all four nodes after two deaths.

--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -85,7 +85,8 @@
 	return http.StatusServiceUnavailable
 }
 
-// onEnd adds what to do when the answer has ended. The last added runs first.
+// onEnd adds what to do when the answer has ended. The first added runs first:
+// the inner parts look at contexts that the outer ones cancel.
 func (a *answer) onEnd(f func(ending)) { a.ends = append(a.ends, f) }
 
 // finish ends the answer. Only the first call counts.
@@ -96,8 +97,8 @@
 			// passes the abort on.
 			_ = a.resp.Body.Close()
 		}
-		for i := len(a.ends) - 1; i >= 0; i-- {
-			a.ends[i](e)
+		for _, f := range a.ends {
+			f(e)
 		}
 	})
 }
