Compare owners of key ranges and suspects with peers

Cause: an update of a range or of a suspect is sent a few times when it is made. A node that was not known then never got it: the comparison of hashes covered members and contracts only. In TestOutcomes rounds-1 did not learn the owners of billing within 30 s and refused every invoice (reason range); in TestGracefulStops billing-2 did not learn the witness of one range within 30 s. A witness that does not know that it is one never takes over. Ruled out: the watch of the platform (it does not cover ranges, by design) and polls of the own service (nodes without a part in a range do not poll). The wire format is unchanged. Before: both waits failed after 30 s. After: both pass.

--- a/core/process/dogmember/event.go
+++ b/core/process/dogmember/event.go
@@ -60,7 +60,8 @@
 		Update Update
 		Urgent bool
 	}
-	// ContractsChanged tells the hash of the contract generations in force.
+	// ContractsChanged tells the hash of the contract generations in force and
+	// of what else the driver compares with peers.
 	ContractsChanged struct{ Hash uint64 }
 	// MarkSeen is a mark read from the platform's object drain/<node>.
 	MarkSeen struct {
@@ -143,9 +144,12 @@
 		From   string // Name of the node; the peer address for a pull.
 		Update Update
 	}
-	// ContractsDiffer tells that a peer has other contract generations in
-	// force.
-	ContractsDiffer struct{ Node, Peer string }
+	// ContractsDiffer tells that a peer told another hash than that of
+	// ContractsChanged.
+	ContractsDiffer struct {
+		Node, Peer string
+		Hash       uint64 // Told by the peer.
+	}
 	// Changed tells that Targets and Members return something new.
 	Changed struct{}
 	// MemberFailed tells that a member is now held for failed.
--- a/core/process/dogmember/sync.go
+++ b/core/process/dogmember/sync.go
@@ -193,7 +193,7 @@
 // compare reacts to the hashes in the answer to a probe.
 func (m *Membership) compare(now time.Time, pr *probe, msg Message) {
 	if msg.Contracts != 0 && msg.Contracts != m.contracts {
-		m.act(ContractsDiffer{Node: pr.node, Peer: pr.peer})
+		m.act(ContractsDiffer{Node: pr.node, Peer: pr.peer, Hash: msg.Contracts})
 	}
 	s := &m.syncing
 	if msg.Summary == 0 || msg.Summary == m.summary || s.pulling != "" || now.Before(s.next) {
--- a/io/process/dognode/config.go
+++ b/io/process/dognode/config.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dogwoodford"
-	"dogwoodford/core/process/dogmember"
 	"dogwoodford/core/version/dogconfig"
 	"dogwoodford/core/version/dogcontract"
 	"dogwoodford/io/process/doglog"
@@ -61,7 +60,7 @@
 	c.n.metrics.StoreTo(dogmetric.ContractGeneration, g.Customer, g.Number)
 	c.n.log(doglog.ContractInForce, attr("customer", g.Customer), attr("generation", g.Number))
 	c.publish(now)
-	c.onMember(now, dogmember.ContractsChanged{Hash: c.config.Hash()})
+	c.hashChanged(now)
 	c.spread(now, dogconfig.GenerationUpdate(g), true)
 }
 
--- a/io/process/dognode/control.go
+++ b/io/process/dognode/control.go
@@ -54,6 +54,7 @@
 	stepped   time.Time // When dogrange last had a tick.
 	imports   map[rangeEpoch]bool
 	ops       int64
+	compare   compare
 
 	snap atomic.Pointer[snapshot]
 }
--- a/io/process/dognode/doc.go
+++ b/io/process/dognode/doc.go
@@ -11,6 +11,7 @@
 //   - node.go builds the parts, starts and stops them.
 //   - control.go is the control loop; member.go, config.go, ranges.go and
 //     suspects.go carry out the actions of one decision package each.
+//   - compare.go repairs what gossip did not bring.
 //   - snapshot.go is what traffic goroutines see.
 //   - peers.go answers other nodes, target.go watches the target, watch.go
 //     holds the watches of the platform, drain.go ends a node without cutting
--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -65,7 +65,7 @@
 	case dogmember.Deliver:
 		c.deliver(now, a)
 	case dogmember.ContractsDiffer:
-		c.onConfig(now, dogconfig.PeerDiffers{Peer: a.Peer})
+		c.peerDiffers(now, a)
 	case dogmember.KeeperChanged:
 		c.keeper = a.Keeper
 		c.n.log(doglog.WatcherChosen, attr("watcher", a.Keeper))
--- a/io/process/dognode/ranges.go
+++ b/io/process/dognode/ranges.go
@@ -51,6 +51,7 @@
 	case dogrange.Publish:
 		c.table = a.Table
 		c.publish(now)
+		c.hashChanged(now)
 	case dogrange.Report:
 		c.reportRange(now, a)
 	}
--- a/io/process/dognode/suspects.go
+++ b/io/process/dognode/suspects.go
@@ -16,6 +16,7 @@
 		switch a := a.(type) {
 		case dogsuspect.Changed:
 			c.publish(now)
+			c.hashChanged(now)
 		case dogsuspect.Spread:
 			c.spread(now, dogsuspect.ReportUpdate(a.Report), true)
 		case dogsuspect.QuarantineBegun:
