--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -85,7 +85,8 @@
 	return http.StatusServiceUnavailable
 }
 
-// onEnd adds what to do when the answer has ended. The last added runs first.
+// onEnd adds what to do when the answer has ended. The first added runs first:
+// the inner parts look at contexts that the outer ones cancel.
 func (a *answer) onEnd(f func(ending)) { a.ends = append(a.ends, f) }
 
 // finish ends the answer. Only the first call counts.
@@ -96,8 +97,8 @@
 			// passes the abort on.
 			_ = a.resp.Body.Close()
 		}
-		for i := len(a.ends) - 1; i >= 0; i-- {
-			a.ends[i](e)
+		for _, f := range a.ends {
+			f(e)
 		}
 	})
 }
@@ -151,7 +152,7 @@
 	if a.info.Reason == dogwoodford.ReasonCredential {
 		out.Set("Www-Authenticate", "Bearer")
 	}
-	if x.r.ProtoMajor == 1 && !x.body.hasEnded() {
+	if x.r.ProtoMajor == 1 && !x.body.hasEnded() && (a.resp != nil || !x.body.settle()) {
 		// In full duplex, net/http panics on the connection if it finds the end
 		// of the request body only when it closes it, and then reads the next
 		// request.
--- a/io/request/doghttp/body.go
+++ b/io/request/doghttp/body.go
@@ -133,6 +133,43 @@
 	return b.err
 }
 
+const (
+	// settleBytes is the length up to which an unread rest is read before an
+	// answer. Reading more costs more than a new connection.
+	settleBytes = 256 << 10
+	// settleTime bounds the wait for it.
+	settleTime = time.Second
+)
+
+// settle reads a short rest of the body before the answer starts, and reports
+// whether the connection can be used again. With full duplex, net/http does
+// not do so by itself, and panics when it finds the end of the body only after
+// the handler.
+func (b *body) settle() bool {
+	b.mu.Lock()
+	done, known := b.ended, b.length
+	b.mu.Unlock()
+	if done || b.rc == nil {
+		return true
+	}
+	if known > settleBytes || b.r.Header.Get("Expect") != "" {
+		return false
+	}
+	if err := b.rc.SetReadDeadline(time.Now().Add(settleTime)); err != nil {
+		return false
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	n, err := io.CopyN(io.Discard, b.src, settleBytes)
+	if err != io.EOF || n >= settleBytes {
+		return false
+	}
+	b.mu.Lock()
+	b.ended = true
+	b.mu.Unlock()
+	return b.rc.SetReadDeadline(time.Time{}) == nil
+}
+
 // stop ends all reading, as the request is over, and waits for a read in
 // progress, as a transport may still read the body after it has the answer.
 func (b *body) stop(abort bool) {
