--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL = $(GO) -C tools tool -n
 BIN = bin
 
-.PHONY: all build demo test fmt lint vet unit linkage bench generate clean
+.PHONY: all build demo test fmt lint vet unit linkage bench measure generate clean
 
 all: build
 
@@ -17,6 +17,10 @@
 demo: build
 	scripts/demo.sh
 
+# Measures what nodes add to a call, through separate processes on 127.0.0.1.
+measure: build
+	scripts/measure.sh
+
 test: fmt vet lint linkage unit
 
 fmt:
--- a/cmd/dogload/main.go
+++ b/cmd/dogload/main.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -32,6 +33,8 @@
 	cmd := &cli.Command{
 		Name:  "dogload",
 		Usage: "measure the time that nodes add to a call",
+		// NAME=PID,ADMIN holds a comma.
+		DisableSliceFlagSeparator: true,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "way", Required: true, Usage: "NAME=URL; the first is the baseline"},
 			&cli.StringSliceFlag{Name: "process", Usage: "NAME=PID or NAME=PID,ADMIN to measure resources of"},
@@ -41,7 +44,8 @@
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "warmup", Value: 3 * time.Second},
 			&cli.IntFlag{Name: "concurrent", Value: 1000, Usage: "bound on requests in progress on each way"},
-			&cli.BoolFlag{Name: "json"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of the table"},
+			&cli.StringFlag{Name: "json-file", Usage: "also write JSON to this file"},
 		},
 		Action: run,
 	}
@@ -75,10 +79,34 @@
 	if err := addUsage(ctx, &rep, processes, before); err != nil {
 		return err
 	}
+	if path := cmd.String("json-file"); path != "" {
+		if err := writeFile(path, rep); err != nil {
+			return err
+		}
+	}
 	if !cmd.Bool("json") {
 		return rep.WriteTable(os.Stdout)
 	}
-	enc := json.NewEncoder(os.Stdout)
+	return writeJSON(os.Stdout, rep)
+}
+
+func writeFile(path string, rep loadtest.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("write JSON: %w", err)
+	}
+	if err := writeJSON(f, rep); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("write JSON: %w", err)
+	}
+	return nil
+}
+
+func writeJSON(w io.Writer, rep loadtest.Report) error {
+	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	if err := enc.Encode(rep); err != nil {
 		return fmt.Errorf("write JSON: %w", err)
