dogcall, dogdigest: write headers and digests with fewer allocations

Each header of our own cost a string and a slice of one value, and numbers went through fmt. The values of one message now share an array; the bound on the capacity of each slice keeps an Add to one header out of the next. The digest writes its parts from one buffer; the bytes hashed are the same.

--- a/core/request/dogcall/answer.go
+++ b/core/request/dogcall/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,25 +67,44 @@
 
 // Format writes the headers for a caller: outcome, reason and Retry-After.
 func (a Answer) Format(h Header) {
-	set(h, HeaderOutcome, a.Outcome.String())
-	set(h, HeaderReason, string(a.Reason))
+	out := newWriter(h, 3)
+	a.format(&out)
+}
+
+func (a Answer) format(out *writer) {
+	out.set(HeaderOutcome, a.Outcome.String())
+	out.set(HeaderReason, string(a.Reason))
 	if a.RetryAfter > 0 {
-		setNumber(h, HeaderRetryAfter, int64((a.RetryAfter+time.Second-1)/time.Second))
+		out.number(HeaderRetryAfter, int64((a.RetryAfter+time.Second-1)/time.Second))
 	}
 }
 
 // FormatPeer writes the headers for another node: those of Format, the report
 // and the retries used.
 func (a Answer) FormatPeer(h Header) {
-	a.Format(h)
+	out := newWriter(h, 6)
+	a.format(&out)
 	if a.RetriesUsed >= 0 {
-		setNumber(h, HeaderRetriesUsed, int64(a.RetriesUsed))
+		out.number(HeaderRetriesUsed, int64(a.RetriesUsed))
 	}
 	if a.Report != nil {
 		l := a.Report.Load
-		set(h, HeaderLoad, fmt.Sprintf("%d %d %d", l.InFlight, l.Queued, l.Limit))
-		set(h, HeaderCutoff, fmt.Sprintf("%d %d", l.Cutoff, a.Report.Called))
+		out.set(HeaderLoad, spaced(int64(l.InFlight), int64(l.Queued), int64(l.Limit)))
+		out.set(HeaderCutoff, spaced(int64(l.Cutoff), int64(a.Report.Called)))
+	}
+}
+
+// spaced returns numbers separated by single spaces.
+func spaced(numbers ...int64) string {
+	var buf [64]byte
+	b := buf[:0]
+	for i, n := range numbers {
+		if i > 0 {
+			b = append(b, ' ')
+		}
+		b = strconv.AppendInt(b, n, 10)
 	}
+	return string(b)
 }
 
 // numbers returns the n numbers of a header, which are separated by single
--- a/core/request/dogcall/caller.go
+++ b/core/request/dogcall/caller.go
@@ -57,18 +57,19 @@
 
 // Format writes the claims to h, leaving out what is absent.
 func (c Claims) Format(h Header) {
-	set(h, HeaderCustomer, c.Customer)
-	set(h, HeaderKey, c.Key.String())
-	set(h, HeaderRequest, c.Token)
-	set(h, HeaderTraceparent, c.Traceparent)
+	out := newWriter(h, 7)
+	out.set(HeaderCustomer, c.Customer)
+	out.set(HeaderKey, c.Key.String())
+	out.set(HeaderRequest, c.Token)
+	out.set(HeaderTraceparent, c.Traceparent)
 	if c.Credential != "" {
-		set(h, HeaderAuthorization, "Bearer "+c.Credential)
+		out.set(HeaderAuthorization, "Bearer "+c.Credential)
 	}
 	if c.Deadline > 0 {
-		setNumber(h, HeaderDeadline, ceilMs(c.Deadline))
+		out.number(HeaderDeadline, ceilMs(c.Deadline))
 	}
 	if c.Attempt > 0 {
-		setNumber(h, HeaderAttempt, int64(c.Attempt))
+		out.number(HeaderAttempt, int64(c.Attempt))
 	}
 }
 
--- a/core/request/dogcall/peer.go
+++ b/core/request/dogcall/peer.go
@@ -1,6 +1,8 @@
 package dogcall
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"strconv"
 	"time"
@@ -58,26 +60,27 @@
 // milliseconds, and is 0 if it has passed.
 func (p Peer) Format(h Header, now time.Time) {
 	s := p.Spec
-	set(h, HeaderPeerKey, p.PeerKey)
-	set(h, HeaderCustomer, s.Customer)
-	set(h, HeaderClass, s.Class)
-	set(h, HeaderRoot, s.Root)
-	set(h, HeaderTraceparent, p.Traceparent)
-	setNumber(h, HeaderImportance, int64(s.Importance))
-	setNumber(h, HeaderDeadline, ceilMs(s.Deadline.Sub(now)))
-	setNumber(h, HeaderRetries, int64(s.Retries))
-	setNumber(h, HeaderHop, int64(s.Hop))
+	out := newWriter(h, 14)
+	out.set(HeaderPeerKey, p.PeerKey)
+	out.set(HeaderCustomer, s.Customer)
+	out.set(HeaderClass, s.Class)
+	out.set(HeaderRoot, s.Root)
+	out.set(HeaderTraceparent, p.Traceparent)
+	out.number(HeaderImportance, int64(s.Importance))
+	out.number(HeaderDeadline, ceilMs(s.Deadline.Sub(now)))
+	out.number(HeaderRetries, int64(s.Retries))
+	out.number(HeaderHop, int64(s.Hop))
 	if s.Attempt > 0 {
-		setNumber(h, HeaderAttempt, int64(s.Attempt))
+		out.number(HeaderAttempt, int64(s.Attempt))
 	}
 	if s.Digest != 0 {
-		set(h, HeaderDigest, fmt.Sprintf("%016x", s.Digest))
+		out.set(HeaderDigest, formatDigest(s.Digest))
 	}
 	if !s.Key.IsZero() {
-		set(h, HeaderKey, s.Key.String())
-		setNumber(h, HeaderRange, int64(s.Key.Range()))
+		out.set(HeaderKey, s.Key.String())
+		out.number(HeaderRange, int64(s.Key.Range()))
 		if p.Epoch > 0 {
-			setNumber(h, HeaderEpoch, p.Epoch)
+			out.number(HeaderEpoch, p.Epoch)
 		}
 	}
 }
@@ -86,13 +89,14 @@
 // progress, what remains of the deadline, retries and class, and the key
 // unless the call is a child call.
 func FormatTarget(h Header, spec dogwoodford.RequestSpec, token, traceparent string, now time.Time) {
-	set(h, HeaderRequest, token)
-	setNumber(h, HeaderDeadline, ceilMs(spec.Deadline.Sub(now)))
-	setNumber(h, HeaderRetries, int64(spec.Retries))
-	set(h, HeaderClass, spec.Class)
-	set(h, HeaderTraceparent, traceparent)
+	out := newWriter(h, 6)
+	out.set(HeaderRequest, token)
+	out.number(HeaderDeadline, ceilMs(spec.Deadline.Sub(now)))
+	out.number(HeaderRetries, int64(spec.Retries))
+	out.set(HeaderClass, spec.Class)
+	out.set(HeaderTraceparent, traceparent)
 	if spec.Hop == 0 {
-		set(h, HeaderKey, spec.Key.String())
+		out.set(HeaderKey, spec.Key.String())
 	}
 }
 
@@ -124,13 +128,35 @@
 	return n
 }
 
-func set(h Header, name, value string) {
-	if value != "" {
-		h[name] = []string{value}
+// writer sets headers. Their values share one array, as a slice of its own for
+// each value costs an allocation.
+type writer struct {
+	h      Header
+	values []string
+}
+
+// newWriter returns a writer of up to n headers; more cost allocations.
+func newWriter(h Header, n int) writer { return writer{h: h, values: make([]string, 0, n)} }
+
+// set sets a header unless value is empty.
+func (w *writer) set(name, value string) {
+	if value == "" {
+		return
 	}
+	w.values = append(w.values, value)
+	n := len(w.values)
+	// The bound on the capacity keeps an Add to one header out of the next.
+	w.h[name] = w.values[n-1 : n : n]
 }
 
-func setNumber(h Header, name string, n int64) { h[name] = []string{strconv.FormatInt(n, 10)} }
+func (w *writer) number(name string, n int64) { w.set(name, strconv.FormatInt(n, 10)) }
+
+// formatDigest returns 16 hexadecimal digits.
+func formatDigest(d uint64) string {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], d)
+	return hex.EncodeToString(b[:])
+}
 
 func ceilMs(d time.Duration) int64 {
 	d = min(d, MaxDeadline)
--- a/core/request/dogdigest/digest.go
+++ b/core/request/dogdigest/digest.go
@@ -20,11 +20,13 @@
 	// SHA-256 keeps one customer from making another's content, or its own
 	// harmless content, collide with a quarantined digest.
 	d := &Digest{h: sha256.New(), left: BodyBytes}
+	buf := make([]byte, 0, 128)
 	for _, s := range []string{customer, service, method, path} {
 		// The length in front of each part keeps ("a","bc") and ("ab","c") apart.
-		d.h.Write(binary.AppendUvarint(nil, uint64(len(s))))
-		d.h.Write([]byte(s))
+		buf = binary.AppendUvarint(buf, uint64(len(s)))
+		buf = append(buf, s...)
 	}
+	d.h.Write(buf)
 	return d
 }
 
