doghttp: pass a short answer on without a copy buffer; no span without exporter

Without an exporter the tracer built a header, extracted, started and injected a no-op span on each hop; the trace context of the caller now travels on unchanged.

--- a/io/process/dognode/observe.go
+++ b/io/process/dognode/observe.go
@@ -25,6 +25,9 @@
 
 // Start starts the span of a hop.
 func (t tracer) Start(ctx context.Context, role doghttp.Role, traceparent string) (context.Context, string, doghttp.Span) {
+	if !t.t.Records() {
+		return ctx, traceparent, noSpan{}
+	}
 	header := make(http.Header)
 	if traceparent != "" {
 		header.Set("Traceparent", traceparent)
@@ -50,6 +53,15 @@
 	s.s.End(dogtrace.Result{Outcome: o, Reason: reason, Status: status})
 }
 
+// noSpan is the span of a hop that is not traced.
+type noSpan struct{}
+
+// Call does nothing.
+func (noSpan) Call(dogwoodford.Request) {}
+
+// End does nothing.
+func (noSpan) End(dogwoodford.Outcome, dogwoodford.Reason, int) {}
+
 // requestEvents maps the events of requests to the catalogue.
 var requestEvents = map[doghttp.Event]struct {
 	event  doglog.Event
--- a/io/process/dogtrace/dogtrace.go
+++ b/io/process/dogtrace/dogtrace.go
@@ -44,6 +44,7 @@
 
 // Tracer starts spans. It is safe for concurrent use.
 type Tracer struct {
+	records    bool
 	tracer     trace.Tracer
 	propagator propagation.TextMapPropagator
 	shutdown   func(context.Context) error
@@ -81,9 +82,14 @@
 	)
 	t.tracer = provider.Tracer("dogwoodford")
 	t.shutdown = provider.Shutdown
+	t.records = true
 	return t, nil
 }
 
+// Records reports whether spans go anywhere. If not, a trace context travels on
+// unchanged, and callers may leave the tracer out.
+func (t *Tracer) Records() bool { return t.records }
+
 // newExporter returns nil without an error for the exporter none.
 func newExporter(ctx context.Context, cfg Config) (sdktrace.SpanExporter, error) {
 	switch cfg.Exporter {
--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -40,6 +40,7 @@
 	stage  dogoutcome.Stage
 	text   string // Body of a refusal.
 	kept   *Kept  // A replayed answer.
+	data   []byte // The whole body of resp, if it was read already.
 	copyTo func([]byte)
 	once   sync.Once
 	ends   []func(ending)
@@ -86,7 +87,12 @@
 }
 
 // onEnd adds what to do when the answer has ended. The last added runs first.
-func (a *answer) onEnd(f func(ending)) { a.ends = append(a.ends, f) }
+func (a *answer) onEnd(f func(ending)) {
+	if a.ends == nil {
+		a.ends = make([]func(ending), 0, 6) // As many as a call through one node adds.
+	}
+	a.ends = append(a.ends, f)
+}
 
 // finish ends the answer. Only the first call counts.
 func (a *answer) finish(e ending) {
@@ -188,9 +194,7 @@
 		}
 		return nil
 	}
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	if err := a.stream(x, *buf); err != nil {
+	if err := a.send(x); err != nil {
 		return err
 	}
 	trailers, err := a.trailers()
@@ -203,6 +207,22 @@
 	return nil
 }
 
+// send passes the body of resp on.
+func (a *answer) send(x *exchange) error {
+	if a.data == nil {
+		buf := buffers.Get().(*[]byte)
+		defer buffers.Put(buf)
+		return a.stream(x, *buf)
+	}
+	if a.copyTo != nil {
+		a.copyTo(a.data)
+	}
+	if _, err := x.w.Write(a.data); err != nil {
+		return fmt.Errorf("%w: %w", errDownstream, err)
+	}
+	return nil
+}
+
 func (a *answer) stream(x *exchange, buf []byte) error {
 	left := a.resp.ContentLength
 	for {
--- a/io/request/doghttp/send.go
+++ b/io/request/doghttp/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -157,14 +156,15 @@
 		_ = resp.Body.Close()
 		return failed(ctx, c, dogoutcome.Truncated)
 	}
-	if err := prefetch(c.method, resp); err != nil {
+	data, err := prefetch(c.method, resp)
+	if err != nil {
 		h.cfg.Events.Event(ctx, EventTruncated, c.spec.Root, err)
 		_ = resp.Body.Close()
 		return failed(ctx, c, dogoutcome.Truncated)
 	}
 	return &answer{
 		status: resp.StatusCode, header: answerHeader(resp.Header), resp: resp, info: info,
-		stage: dogoutcome.Headers,
+		stage: dogoutcome.Headers, data: data,
 	}
 }
 
@@ -172,22 +172,22 @@
 // answer is passed on.
 const prefetchBytes = 16 << 10
 
-// prefetch reads a short body of known length at once. If it breaks off,
-// another target can still be tried, or the caller gets an outcome instead of
-// an abort.
-func prefetch(method string, resp *http.Response) error {
+// prefetch reads a short body of known length at once, or returns nil. If it
+// breaks off, another target can still be tried, or the caller gets an outcome
+// instead of an abort.
+func prefetch(method string, resp *http.Response) ([]byte, error) {
 	n := resp.ContentLength
 	if n <= 0 || n > prefetchBytes || method == http.MethodHead || resp.StatusCode == http.StatusNotModified {
-		return nil
+		return nil, nil
 	}
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return fmt.Errorf("read answer: %w", err)
+	// Room beyond the length, as the end may come with a read of its own.
+	data := bytes.NewBuffer(make([]byte, 0, n+bytes.MinRead))
+	if _, err := data.ReadFrom(resp.Body); err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
 	}
 	// Closing after the end gives the connection back early.
 	_ = resp.Body.Close()
-	resp.Body = io.NopCloser(bytes.NewReader(data))
-	return nil
+	return data.Bytes(), nil
 }
 
 // unframed reports whether only the end of the connection ends the answer.
