Add operator commands for ranges, quarantines and drains

A window that still runs was extended within the last 6 s, which contradicts the assertion, so the release is refused. Deleting the mark of a drain was ruled out too: the object service interface has no deletion, and a mark of time 0 withdraws it.

A lost answer is settled by repeating the conditional update, as in apply. A node drains and ends on the mark.

Conclusion: scripts in io/process/dogcli/testdata cover the commands with lost answers, conflicts and a platform that is down.

--- a/io/process/dogcli/doc.go
+++ b/io/process/dogcli/doc.go
@@ -14,6 +14,7 @@
 //		Run:      run,  // Runs a node.
 //	}))
 //
-// The package does not run a node itself, and it never changes what a node
-// does but through contracts.
+// The package does not run a node itself. It changes what nodes do through
+// contracts, and otherwise only by a drain mark, the release of a key range
+// whose owner and witness are lost, and the release of quarantined content.
 package dogcli
--- a/io/process/dogcli/dogcli.go
+++ b/io/process/dogcli/dogcli.go
@@ -98,7 +98,8 @@
 		Writer:         a.o.Stdout,
 		ErrWriter:      a.o.Stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Main reports errors.
-		Commands:       []*cli.Command{a.nodeCommand(), a.settingsCommand(), a.contractCommand(), a.statusCommand()},
+		Commands: []*cli.Command{a.nodeCommand(), a.settingsCommand(), a.contractCommand(), a.statusCommand(),
+			a.rangeCommand(), a.quarantineCommand(), a.drainCommand()},
 	}
 	prepare(root)
 	return root
--- a/io/process/dogcli/fakes_test.go
+++ b/io/process/dogcli/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -117,10 +118,39 @@
 		return nil, errors.New("connection refused")
 	}
 	w := httptest.NewRecorder()
-	dogstatus.Handler(describe).ServeHTTP(w, r)
+	switch r.Method + " " + r.URL.Path {
+	case "GET " + dogstatus.Path:
+		dogstatus.Handler(describe).ServeHTTP(w, r)
+	case "POST " + dogstatus.ReleasePath:
+		n.release(r.URL.Host, r.FormValue("digest"))
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		http.NotFound(w, r)
+	}
 	return w.Result(), nil
 }
 
+// release ends the quarantine of a digest at one node.
+func (n nodes) release(host, digest string) {
+	s := n[host]()
+	s.Quarantines = slices.DeleteFunc(slices.Clone(s.Quarantines), func(q dogstatus.Quarantine) bool { return q.Digest == digest })
+	s.Problems = append(s.Problems, "released "+digest)
+	n[host] = func() dogstatus.Status { return s }
+}
+
+// releases returns the releases that nodes took, as address:digest.
+func releases(n nodes) (out []string) {
+	for host, describe := range n {
+		for _, p := range describe().Problems {
+			if digest, ok := strings.CutPrefix(p, "released "); ok {
+				out = append(out, host+":"+digest)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // result is how a command ended.
 type result struct {
 	code           int
--- a/io/process/dognode/admin.go
+++ b/io/process/dognode/admin.go
@@ -28,7 +28,7 @@
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /healthz", n.healthz)
-	mux.HandleFunc("POST /quarantines/release", n.release)
+	mux.HandleFunc("POST "+dogstatus.ReleasePath, n.release)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
--- a/io/process/dognode/drain.go
+++ b/io/process/dognode/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,17 @@
 type drain struct {
 	n       *node
 	started atomic.Bool
+	marked  chan struct{} // Closed by mark.
+	once    sync.Once
+}
+
+func newDrain(n *node) *drain { return &drain{n: n, marked: make(chan struct{})} }
+
+// mark drains and ends the node, as the mark of the platform asks for. It does
+// not block.
+func (d *drain) mark() {
+	d.begin()
+	d.once.Do(func() { close(d.marked) })
 }
 
 // begun reports whether the node takes no new work for good.
--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -72,7 +72,7 @@
 		c.onConfig(now, dogconfig.WatcherChanged{Watcher: a.Keeper})
 	case dogmember.BeginDrain:
 		c.n.log(doglog.DrainMarked)
-		c.n.drain.begin()
+		c.n.drain.mark()
 	case dogmember.MemberFailed:
 		c.n.metrics.Add(dogmetric.MemberFailures, 1)
 		c.n.log(doglog.MemberFailed, attr("member", a.Member.Node), attr("service", a.Member.Service))
--- a/io/process/dognode/node.go
+++ b/io/process/dognode/node.go
@@ -66,7 +66,8 @@
 	wg    sync.WaitGroup
 }
 
-// Run runs a node until ctx ends, then drains it and returns. Log lines go to
+// Run runs a node until ctx ends or the platform marks it as draining, then
+// drains it and returns. Log lines go to
 // out. The error is nil after a complete drain.
 func Run(ctx context.Context, settings dogsettings.Settings, out io.Writer) error {
 	n, err := newNode(ctx, settings, out)
@@ -85,7 +86,10 @@
 	done := n.supervise(runCtx)
 	n.log(doglog.NodeStarted, attr("name", settings.Node.Name), attr("service", settings.Node.Service),
 		attr("data_centre", settings.Node.DataCentre))
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.drain.marked:
+	}
 	n.drain.finish(base)
 	cancel()
 	close(n.control.ended)
@@ -132,7 +136,7 @@
 	n.platform = dogplatform.New(dogplatform.Options{Address: settings.Platform.Address, Rand: newRand()})
 	n.peers = dogpeer.NewClient(dogpeer.ClientOptions{Key: settings.Peer.Key, Node: settings.Node.Name})
 	n.gate = doghttp.NewGate(dogadmit.New(dogadmit.Options{Slots: settings.Target.Slots, Rand: newRand()}))
-	n.drain = &drain{n: n}
+	n.drain = newDrain(n)
 	n.contractWatch = newPrefixWatch(n, contractPrefix, func(now time.Time, o object) { n.control.contractSeen(now, o) })
 	n.drainWatch = newPrefixWatch(n, drainPrefix, func(now time.Time, o object) { n.control.drainSeen(now, o) })
 	n.control = newControl(n, started, newRand())
--- a/io/process/dogstatus/dogstatus.go
+++ b/io/process/dogstatus/dogstatus.go
@@ -14,6 +14,10 @@
 // Path is where a node serves its status on the admin listener.
 const Path = "/status"
 
+// ReleasePath is where a node takes the release of quarantined content, by
+// POST with the parameter digest.
+const ReleasePath = "/quarantines/release"
+
 // maxBytes bounds a status; one member takes about 250 bytes.
 const maxBytes = 4 << 20
 
