Let nodes tell each other their admin listeners

Ruled out: deriving the address from the peer address, as the settings allow any port and address.

Change: field admin in the Member message, optional, checked like the peer address, carried through dogmember.Member and shown in the status.

Conclusion: nodes without the field are accepted, and shown without an admin address.

--- a/core/process/dogmember/member.go
+++ b/core/process/dogmember/member.go
@@ -16,6 +16,7 @@
 	Service    string
 	DataCentre string
 	Peer       string // IP address and port of the peer listener.
+	Admin      string // IP address and port of the admin listener, for operators; empty if not told.
 	State      dogwoodford.State
 	Slots      int
 	Suspected  bool
--- a/io/process/dognode/admin.go
+++ b/io/process/dognode/admin.go
@@ -118,6 +118,6 @@
 func memberStatus(m dogmember.Member) dogstatus.Member {
 	return dogstatus.Member{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State.String(),
-		Peer: m.Peer, Suspected: m.Suspected,
+		Peer: m.Peer, Admin: m.Admin, Suspected: m.Suspected,
 	}
 }
--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -24,6 +24,7 @@
 			Service:     n.settings.Node.Service,
 			DataCentre:  n.settings.Node.DataCentre,
 			Peer:        n.settings.Listen.Peer,
+			Admin:       n.settings.Listen.Admin,
 			Slots:       n.settings.Target.Slots,
 		},
 		Seeds:    n.settings.Peer.Seeds,
--- a/io/process/dogpeer/convert.go
+++ b/io/process/dogpeer/convert.go
@@ -54,6 +54,19 @@
 	return nil
 }
 
+// checkAdmin accepts records without an admin address, as nodes of earlier
+// versions send them.
+func checkAdmin(s string) error {
+	if s == "" {
+		return nil
+	}
+	ap, err := netip.ParseAddrPort(s)
+	if err != nil || ap.Port() == 0 {
+		return malformed("admin is not an IP address and port")
+	}
+	return nil
+}
+
 func checkRange(number int32) error {
 	if number < 0 || number >= dogwoodford.KeyRanges {
 		return malformed("range number %d", number)
@@ -158,6 +171,7 @@
 		Service:     m.Service,
 		DataCentre:  m.DataCentre,
 		Peer:        m.Peer,
+		Admin:       m.Admin,
 		State:       int32(m.State),
 		Slots:       int32(m.Slots),
 		Started:     m.Started,
@@ -172,6 +186,7 @@
 		Service:     p.GetService(),
 		DataCentre:  p.GetDataCentre(),
 		Peer:        p.GetPeer(),
+		Admin:       p.GetAdmin(),
 		State:       dogwoodford.State(p.GetState()),
 		Slots:       int(p.GetSlots()),
 		Started:     p.GetStarted(),
@@ -182,6 +197,7 @@
 		checkName("service", m.Service),
 		checkName("data centre", m.DataCentre),
 		checkPeer(m.Peer),
+		checkAdmin(m.Admin),
 	)
 	switch {
 	case err != nil:
--- a/io/process/dogpeer/peer_test.go
+++ b/io/process/dogpeer/peer_test.go
@@ -99,7 +99,7 @@
 func sampleMember() dogmember.Member {
 	return dogmember.Member{
 		Node: "rounds-1", Incarnation: 1_700_000_000_000, Service: "rounds", DataCentre: "midrand",
-		Peer: "127.0.0.1:7103", State: dogwoodford.Ready, Slots: 45, Suspected: true,
+		Peer: "127.0.0.1:7103", Admin: "127.0.0.1:7104", State: dogwoodford.Ready, Slots: 45, Suspected: true,
 	}
 }
 
--- a/io/process/dogstatus/dogstatus.go
+++ b/io/process/dogstatus/dogstatus.go
@@ -80,8 +80,7 @@
 	DataCentre string `json:"data_centre"`
 	State      string `json:"state"`
 	Peer       string `json:"peer"`
-	// Admin is the admin listener, if known. Membership does not carry it; a
-	// node fills in its own.
+	// Admin is the admin listener; empty if the node does not tell it.
 	Admin     string `json:"admin,omitempty"`
 	Suspected bool   `json:"suspected,omitempty"`
 }
