Set or remove the metrics and events that nothing used

Cause: 19 of 53 metrics were never set, and range_takeovers was tied to a report that dogrange does not make. 23 of the events of the catalogue were never logged, among them platform-lost and cutoff-raised, so that an operator looked for lines that could not come.

Ruled out: counting units of retry budgets that come back and the time that nodes add, as the entry does not learn either; pressure probes, which would need a second walk over the reports of a service for each request.

The others are set or logged by dognode, doghttp, dogconn and dogplatform. New: guard_refusals by reason. The status carries last_answer and error of the platform and the source of each contract.

--- a/core/version/dogconfig/config.go
+++ b/core/version/dogconfig/config.go
@@ -53,6 +53,7 @@
 	Text     []byte // Must not be changed.
 	Contract C
 	Since    time.Time // When it came into force at this node.
+	Source   string    // "platform" or the peer address that it came from.
 }
 
 // Parsed is what a text says of itself.
@@ -168,7 +169,7 @@
 	if known && !have.Less(got) {
 		return got, true
 	}
-	c.put(now, Entry[C]{Generation: got, Text: slices.Clone(text), Contract: parsed.Contract, Since: now})
+	c.put(now, Entry[C]{Generation: got, Text: slices.Clone(text), Contract: parsed.Contract, Since: now, Source: source})
 	return got, true
 }
 
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwoodford/core/connection/dogoutcome"
@@ -46,8 +47,19 @@
 type Transport struct {
 	protocol Protocol
 	base     *http.Transport
+	opened   atomic.Int64
+	open     atomic.Int64
 }
 
+// Counts are numbers of connections, for metrics.
+type Counts struct {
+	Opened int64 // Since the start.
+	Open   int64 // At present, idle ones included.
+}
+
+// Counts returns the numbers of connections.
+func (t *Transport) Counts() Counts { return Counts{Opened: t.opened.Load(), Open: t.open.Load()} }
+
 // NewPeer returns the transport to other nodes.
 func NewPeer(o Options) *Transport { return newTransport(o) }
 
@@ -64,24 +76,25 @@
 	var p http.Protocols
 	p.SetHTTP1(o.Protocol == HTTP1)
 	p.SetUnencryptedHTTP2(o.Protocol == HTTP2)
-	return &Transport{
-		protocol: o.Protocol,
-		base: &http.Transport{
-			Protocols: &p,
-			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, addr)
-				if err != nil {
-					return nil, fmt.Errorf("dial: %w", err)
-				}
-				return &conn{Conn: c}, nil
-			},
-			DisableCompression:  true, // Answers pass unchanged.
-			MaxConnsPerHost:     o.MaxConns,
-			MaxIdleConnsPerHost: o.MaxConns,
-			MaxIdleConns:        o.MaxIdleConns,
-			IdleConnTimeout:     o.IdleTimeout,
+	t := &Transport{protocol: o.Protocol}
+	t.base = &http.Transport{
+		Protocols: &p,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, fmt.Errorf("dial: %w", err)
+			}
+			t.opened.Add(1)
+			t.open.Add(1)
+			return &conn{Conn: c, closed: func() { t.open.Add(-1) }}, nil
 		},
+		DisableCompression:  true, // Answers pass unchanged.
+		MaxConnsPerHost:     o.MaxConns,
+		MaxIdleConnsPerHost: o.MaxConns,
+		MaxIdleConns:        o.MaxIdleConns,
+		IdleConnTimeout:     o.IdleTimeout,
 	}
+	return t
 }
 
 func withDefaults(o Options) Options {
@@ -199,6 +212,16 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	closed func() // Called once, at the first Close; may be nil.
+	once   sync.Once
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	if c.closed != nil {
+		c.once.Do(c.closed)
+	}
+	return c.Conn.Close()
 }
 
 var errSealed = errors.New("connection given up")
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -25,7 +25,6 @@
 	ChildWithoutToken  = define(1104, "child-without-token", slog.LevelWarn)
 	CredentialRejected = define(1105, "credential-rejected", slog.LevelWarn)
 	AnswerTruncated    = define(1106, "answer-truncated", slog.LevelWarn)
-	RetriesUsedUp      = define(1107, "retries-used-up", slog.LevelDebug)
 	ResendsUsedUp      = define(1108, "resends-used-up", slog.LevelInfo)
 	PeerKeyRejected    = define(1109, "peer-key-rejected", slog.LevelWarn)
 	RequestFinished    = define(1110, "request-finished", slog.LevelDebug)
@@ -69,7 +68,6 @@
 	SelfRefuted     = define(1406, "self-refuted", slog.LevelInfo)
 	SeedFailed      = define(1407, "seed-failed", slog.LevelWarn)
 	DrainMarked     = define(1408, "drain-marked", slog.LevelInfo)
-	NameClash       = define(1409, "name-clash", slog.LevelError)
 )
 
 // Events of contracts: 1500 to 1599.
--- a/io/process/dognode/admin.go
+++ b/io/process/dognode/admin.go
@@ -48,6 +48,7 @@
 func (n *node) release(w http.ResponseWriter, r *http.Request) {
 	d, err := strconv.ParseUint(r.FormValue("digest"), 16, 64)
 	if err != nil {
+		n.log(doglog.AdminRequestFailed, attr("path", r.URL.Path), doglog.Err(err))
 		http.Error(w, "digest: want 16 hexadecimal digits", http.StatusBadRequest)
 		return
 	}
@@ -69,6 +70,7 @@
 		},
 		Platform: dogstatus.Platform{Address: set.Platform.Address, Reachable: !n.platform.Open()},
 	}
+	n.seen.describe(&s.Platform)
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	ok := n.control.ask(ctx, func(time.Time) { n.control.describe(&s) })
@@ -85,7 +87,7 @@
 	s.Platform.Watching = c.keeper
 	for _, e := range c.config.Snapshot() {
 		s.Contracts = append(s.Contracts, dogstatus.Contract{
-			Customer: e.Customer, Generation: e.Number, Since: e.Since,
+			Customer: e.Customer, Generation: e.Number, Since: e.Since, Source: c.sourceOf(e.Source),
 		})
 	}
 	slices.SortFunc(s.Contracts, func(a, b dogstatus.Contract) int { return strings.Compare(a.Customer, b.Customer) })
@@ -115,6 +117,17 @@
 	slices.Sort(s.Problems)
 }
 
+// sourceOf returns the name of the node that listens at a peer address, or the
+// source itself.
+func (c *control) sourceOf(source string) string {
+	for _, m := range c.member.Members() {
+		if m.Peer == source {
+			return m.Node
+		}
+	}
+	return source
+}
+
 func memberStatus(m dogmember.Member) dogstatus.Member {
 	return dogstatus.Member{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State.String(),
--- a/io/process/dognode/config.go
+++ b/io/process/dognode/config.go
@@ -59,6 +59,9 @@
 
 func (c *control) inForce(now time.Time, g dogconfig.Generation) {
 	c.n.metrics.StoreTo(dogmetric.ContractGeneration, g.Customer, g.Number)
+	if len(c.config.Snapshot()) == 1 && c.state == dogwoodford.Ready {
+		c.n.log(doglog.NodeReady)
+	}
 	c.n.log(doglog.ContractInForce, attr("customer", g.Customer), attr("generation", g.Number))
 	c.publish(now)
 	c.onMember(now, dogmember.ContractsChanged{Hash: c.config.Hash()})
--- a/io/process/dognode/control.go
+++ b/io/process/dognode/control.go
@@ -54,6 +54,8 @@
 	stepped   time.Time // When dogrange last had a tick.
 	imports   map[rangeEpoch]bool
 	ops       int64
+	seen      measured
+	known     map[string]dogmember.Member // As last logged.
 
 	snap atomic.Pointer[snapshot]
 }
@@ -67,6 +69,7 @@
 		slots:    n.settings.Target.Slots,
 		problems: make(map[string]time.Time),
 		imports:  make(map[rangeEpoch]bool),
+		known:    make(map[string]dogmember.Member),
 	}
 	c.member = dogmember.New(started, memberOptions(n, started, rnd))
 	c.config = dogconfig.New(dogconfig.Options[*dogcontract.Contract]{
@@ -178,6 +181,9 @@
 	if s == c.state && slots == c.slots {
 		return
 	}
+	if s == dogwoodford.Ready && c.state != s && c.config.Hash() != 0 {
+		c.n.log(doglog.NodeReady)
+	}
 	c.state, c.slots = s, slots
 	c.onMember(now, dogmember.SelfChanged{State: s, Slots: slots})
 	c.publish(now)
@@ -212,6 +218,45 @@
 	m.Store(dogmetric.TargetQueued, int64(l.Queued))
 	m.Store(dogmetric.TargetLimit, int64(l.Limit))
 	m.Store(dogmetric.TargetCutoff, int64(l.Cutoff))
+	m.Store(dogmetric.RequestsInProgress, c.n.handlers.Present())
+	peers, target := c.n.toPeers.Counts(), c.n.toTarget.Counts()
+	m.Store(dogmetric.ConnectionsToTarget, target.Open)
+	c.total(dogmetric.ConnectionsOpened, peers.Opened+target.Opened)
+	sent := c.n.peers.Counts()
+	c.total(dogmetric.PeerMessages, sent.Calls)
+	c.total(dogmetric.PeerBytes, sent.BytesSent)
+	c.logChanges(l, s.Counts.Refutations)
+}
+
+// total raises a counter to the total that another package has counted. Only
+// the control loop raises such a counter.
+func (c *control) total(m dogmetric.Metric, n int64) {
+	c.n.metrics.Add(m, n-c.n.metrics.Value(m))
+}
+
+// logChanges tells of what changed since the last second.
+func (c *control) logChanges(l dogwoodford.Load, refutations int64) {
+	was := c.seen
+	c.seen = measured{limit: l.Limit, cutoff: l.Cutoff, refutations: refutations}
+	switch {
+	case l.Cutoff > was.cutoff:
+		c.n.log(doglog.CutoffRaised, attr("from", int(was.cutoff)), attr("to", int(l.Cutoff)))
+	case l.Cutoff < was.cutoff:
+		c.n.log(doglog.CutoffLowered, attr("from", int(was.cutoff)), attr("to", int(l.Cutoff)))
+	}
+	if l.Limit != was.limit {
+		c.n.log(doglog.LimitChanged, attr("from", was.limit), attr("to", l.Limit))
+	}
+	if refutations > was.refutations {
+		c.n.log(doglog.SelfRefuted)
+	}
+}
+
+// measured is what the last measurement found, for events on changes.
+type measured struct {
+	limit       int
+	cutoff      dogwoodford.Priority
+	refutations int64
 }
 
 // nextOp names a promise that a peer asks for. The numbers are negative, as
--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -135,6 +135,7 @@
 	all := c.member.Members()
 	out := make([]dogrange.Member, 0, len(all))
 	for _, m := range all {
+		c.logMember(m)
 		out = append(out, dogrange.Member{
 			Node:        m.Node,
 			Incarnation: m.Started,
@@ -148,6 +149,27 @@
 	c.publish(now)
 }
 
+// logMember tells of a member that is new or whose state has changed. Failures
+// have an event of their own.
+func (c *control) logMember(m dogmember.Member) {
+	was, known := c.known[m.Node]
+	c.known[m.Node] = m
+	ev := doglog.MemberChanged
+	switch {
+	case m.State == dogwoodford.Failed:
+		return
+	case m.State == dogwoodford.Left && was.State != dogwoodford.Left:
+		ev = doglog.MemberLeft
+	case m.Present() && (!known || m.Started != was.Started):
+		ev = doglog.MemberJoined
+	case m.Suspected && !was.Suspected:
+		ev = doglog.MemberSuspected
+	case m.State == was.State && m.Suspected == was.Suspected:
+		return
+	}
+	c.n.log(ev, attr("member", m.Node), attr("service", m.Service), attr("state", m.State.String()))
+}
+
 // deliver hands an update to the package that it is for.
 func (c *control) deliver(now time.Time, d dogmember.Deliver) {
 	switch v := d.Update.Value.(type) {
--- a/io/process/dognode/node.go
+++ b/io/process/dognode/node.go
@@ -47,7 +47,10 @@
 	tracer   *dogtrace.Tracer
 
 	platform *dogplatform.Client
+	seen     platformView
 	peers    *dogpeer.Client
+	toPeers  *dogconn.Transport
+	toTarget *dogconn.Transport
 
 	control     *control
 	records     *dogrecord.Records
@@ -133,8 +136,12 @@
 		records: dogrecord.New(dogrecord.Options{Answer: answerBytes}),
 		calls:   make(chan struct{}, asyncLimit),
 	}
-	n.platform = dogplatform.New(dogplatform.Options{Address: settings.Platform.Address, Rand: newRand()})
+	n.platform = dogplatform.New(dogplatform.Options{
+		Address: settings.Platform.Address, Rand: newRand(), Observe: n.platformCalled,
+	})
 	n.peers = dogpeer.NewClient(dogpeer.ClientOptions{Key: settings.Peer.Key, Node: settings.Node.Name})
+	n.toPeers = dogconn.NewPeer(dogconn.Options{})
+	n.toTarget = dogconn.NewTarget(dogconn.Options{MaxConns: settings.Target.Connections})
 	n.gate = doghttp.NewGate(dogadmit.New(dogadmit.Options{Slots: settings.Target.Slots, Rand: newRand()}))
 	n.drain = newDrain(n)
 	n.contractWatch = newPrefixWatch(n, contractPrefix, func(now time.Time, o object) { n.control.contractSeen(now, o) })
@@ -153,11 +160,10 @@
 		Name: n.settings.Node.Name, Service: n.settings.Node.Service,
 		TargetAddress: n.settings.Target.Address, PeerKey: n.settings.Peer.Key,
 		Control: n.control, Gate: n.gate, Router: doghttp.NewBalancer(router),
-		Pressure: newPressure(dogpressure.New(dogpressure.Options{Rand: newRand()})),
+		Pressure: newPressure(dogpressure.New(dogpressure.Options{Rand: newRand()}), n.metrics),
 		Records:  ownerRecords{c: n.control}, Suspects: suspects{n: n},
-		Tracer: tracer{t: n.tracer}, Events: events{n: n}, Counters: counters{m: n.metrics},
-		Peers:  dogconn.NewPeer(dogconn.Options{}),
-		Target: dogconn.NewTarget(dogconn.Options{MaxConns: n.settings.Target.Connections}),
+		Tracer: tracer{t: n.tracer}, Events: events{n: n}, Counters: counters{n: n},
+		Peers: n.toPeers, Target: n.toTarget,
 	}
 }
 
--- a/io/process/dognode/observe.go
+++ b/io/process/dognode/observe.go
@@ -4,11 +4,13 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dogwoodford"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/process/dogstatus"
 	"dogwoodford/io/process/dogtrace"
 	"dogwoodford/io/request/doghttp"
 )
@@ -62,6 +64,8 @@
 	doghttp.EventBadAnswer:    {doglog.AnswerMalformed, dogmetric.MalformedAnswers},
 	doghttp.EventUnframed:     {doglog.AnswerUnframed, dogmetric.MalformedAnswers},
 	doghttp.EventTruncated:    {doglog.AnswerTruncated, dogmetric.TruncatedAnswers},
+	doghttp.EventCredential:   {doglog.CredentialRejected, dogmetric.CredentialsRejected},
+	doghttp.EventResends:      {doglog.ResendsUsedUp, dogmetric.ResendsRefused},
 }
 
 // events implements doghttp.Events.
@@ -82,37 +86,122 @@
 }
 
 // counters implements doghttp.Counters.
-type counters struct{ m *dogmetric.Set }
+type counters struct{ n *node }
 
-// Answered counts an answer. Classes are counted at the entry only, where a
-// request of a customer counts once.
-func (c counters) Answered(role doghttp.Role, _, class string, o dogwoodford.Outcome, reason dogwoodford.Reason, d time.Duration) {
+// Answered counts an answer. Requests and classes are counted at the entry
+// only, where a request of a customer counts once.
+func (c counters) Answered(role doghttp.Role, service, class string, o dogwoodford.Outcome, reason dogwoodford.Reason, d time.Duration) {
+	m := c.n.metrics
 	if role == doghttp.RoleExit {
-		c.m.Add(dogmetric.ChildCalls, 1)
+		m.Add(dogmetric.ChildCalls, 1)
 	}
 	if role != doghttp.RoleEntry {
 		return
 	}
-	c.m.AddTo(dogmetric.Requests, o.String(), 1)
-	c.m.Observe(dogmetric.EntryLatency, d)
+	c.log(service, class, o, reason, d)
+	m.AddTo(dogmetric.Requests, o.String(), 1)
+	m.Observe(dogmetric.EntryLatency, d)
 	if reason != dogwoodford.ReasonNone {
-		c.m.AddTo(dogmetric.Refusals, string(reason), 1)
+		m.AddTo(dogmetric.Refusals, string(reason), 1)
 	}
 	if class == "" {
 		return
 	}
-	c.m.AddTo(dogmetric.ClassOffered, class, 1)
+	m.AddTo(dogmetric.ClassOffered, class, 1)
 	if o == dogwoodford.Ran {
-		c.m.AddTo(dogmetric.ClassCompleted, class, 1)
+		m.AddTo(dogmetric.ClassCompleted, class, 1)
 	} else {
-		c.m.AddTo(dogmetric.ClassRefused, class, 1)
+		m.AddTo(dogmetric.ClassRefused, class, 1)
 	}
 }
 
+// log tells of the end of a request, at the level that its outcome calls for.
+func (c counters) log(service, class string, o dogwoodford.Outcome, reason dogwoodford.Reason, d time.Duration) {
+	ev := doglog.RequestFinished
+	switch {
+	case o == dogwoodford.Unknown:
+		ev = doglog.RequestUnknown
+	case o == dogwoodford.NotRun:
+		ev = doglog.RequestRefused
+	}
+	ctx := context.Background()
+	if !c.n.logger.Enabled(ctx, ev.Level()) {
+		return // Spares the request path the attributes.
+	}
+	c.n.limited.Log(ctx, ev, attr("service", service), attr("class", class), attr("outcome", o.String()),
+		attr("reason", string(reason)), attr("duration", d))
+}
+
 // Attempted counts a dispatch.
-func (c counters) Attempted(_ doghttp.Role, service string, attempt int) {
-	c.m.AddTo(dogmetric.DispatchesToService, service, 1)
+func (c counters) Attempted(_ doghttp.Role, t dogwoodford.Target, attempt int) {
+	m := c.n.metrics
+	m.AddTo(dogmetric.DispatchesToService, t.Service, 1)
+	if t.DataCentre != c.n.settings.Node.DataCentre {
+		m.Add(dogmetric.DispatchesOtherPlace, 1)
+	}
 	if attempt > 1 {
-		c.m.Add(dogmetric.RetriesSpent, 1)
+		m.Add(dogmetric.RetriesSpent, 1)
+	}
+}
+
+// Guarded counts a decision of the guard.
+func (c counters) Guarded(reason dogwoodford.Reason, queued time.Duration) {
+	if reason != dogwoodford.ReasonNone {
+		c.n.metrics.AddTo(dogmetric.GuardRefusals, string(reason), 1)
+		return
+	}
+	c.n.metrics.Observe(dogmetric.QueueDelay, queued)
+}
+
+// Served counts a call that the target ran.
+func (c counters) Served(d time.Duration) { c.n.metrics.Observe(dogmetric.TargetLatency, d) }
+
+// Moved counts the bytes of bodies.
+func (c counters) Moved(role doghttp.Role, in, out int64) {
+	if role == doghttp.RoleEntry {
+		c.n.metrics.Add(dogmetric.BytesIn, in)
+		c.n.metrics.Add(dogmetric.BytesOut, out)
+	}
+}
+
+// platformView is what the calls to the object service told.
+type platformView struct {
+	lastAnswer atomic.Int64 // Unix milliseconds; 0 before the first answer.
+	lastError  atomic.Pointer[string]
+	lost       atomic.Bool
+}
+
+// platformCalled counts a call to the object service and tells when the
+// service stops or begins to answer.
+func (n *node) platformCalled(kind string, err error) {
+	n.metrics.AddTo(dogmetric.PlatformCalls, kind, 1)
+	if err != nil {
+		n.metrics.AddTo(dogmetric.PlatformErrors, kind, 1)
+		text := err.Error()
+		n.seen.lastError.Store(&text)
+	} else {
+		now := time.Now().UnixMilli()
+		n.seen.lastAnswer.Store(now)
+		n.seen.lastError.Store(nil)
+		n.metrics.Store(dogmetric.PlatformLastAnswerMs, now)
+	}
+	lost := n.platform.Open()
+	if n.seen.lost.Swap(lost) == lost {
+		return
+	}
+	if lost {
+		n.log(doglog.PlatformLost, doglog.Err(err))
+	} else {
+		n.log(doglog.PlatformBack)
+	}
+}
+
+// describe fills in what a status says of the object service.
+func (p *platformView) describe(s *dogstatus.Platform) {
+	if ms := p.lastAnswer.Load(); ms > 0 {
+		s.LastAnswer = time.UnixMilli(ms)
+	}
+	if text := p.lastError.Load(); text != nil {
+		s.Error = *text
 	}
 }
--- a/io/process/dognode/peers.go
+++ b/io/process/dognode/peers.go
@@ -12,7 +12,6 @@
 	"dogwoodford/core/process/dogrecord"
 	"dogwoodford/core/version/dogconfig"
 	"dogwoodford/io/process/doglog"
-	"dogwoodford/io/process/dogmetric"
 	"dogwoodford/io/process/dogpeer"
 )
 
@@ -32,7 +31,6 @@
 
 // Probe exchanges updates with a peer.
 func (p peerHandler) Probe(ctx context.Context, from string, m dogmember.Message) (dogmember.Message, error) {
-	p.c.n.metrics.Add(dogmetric.PeerMessages, 1)
 	var out dogmember.Message
 	ok := p.c.ask(ctx, func(now time.Time) {
 		for _, a := range p.c.onMember(now, dogmember.ProbeArrived{From: from, Message: m}) {
@@ -55,7 +53,6 @@
 
 // Notify takes urgent updates.
 func (p peerHandler) Notify(ctx context.Context, from string, m dogmember.Message) error {
-	p.c.n.metrics.Add(dogmetric.PeerMessages, 1)
 	if !p.c.ask(ctx, func(now time.Time) { p.c.onMember(now, dogmember.NotifyArrived{From: from, Message: m}) }) {
 		return fmt.Errorf("notification from %s: %w", from, errBusy)
 	}
--- a/io/process/dognode/pressure.go
+++ b/io/process/dognode/pressure.go
@@ -8,6 +8,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogpressure"
 	"dogwoodford/core/request/dogcall"
+	"dogwoodford/io/process/dogmetric"
 	"dogwoodford/io/request/doghttp"
 )
 
@@ -18,9 +19,10 @@
 type pressure struct {
 	mu    sync.Mutex
 	table *dogpressure.Table
+	m     *dogmetric.Set
 }
 
-func newPressure(t *dogpressure.Table) *pressure { return &pressure{table: t} }
+func newPressure(t *dogpressure.Table, m *dogmetric.Set) *pressure { return &pressure{table: t, m: m} }
 
 // Refuse reports whether a request is to be refused early, and a hint for the
 // caller.
@@ -28,7 +30,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.table.Admit(now, r)
-	return v.RetryAfter(), v.Action() == dogwoodford.Refuse
+	refuse := v.Action() == dogwoodford.Refuse
+	if refuse {
+		p.m.Add(dogmetric.EarlyRefusals, 1)
+	}
+	return v.RetryAfter(), refuse
 }
 
 // Observe records a report of a guard.
--- a/io/process/dognode/ranges.go
+++ b/io/process/dognode/ranges.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"log/slog"
 	"time"
 
 	"dogwoodford"
@@ -49,6 +51,7 @@
 	case dogrange.Gossip:
 		c.gossipRange(now, a)
 	case dogrange.Publish:
+		c.logOwners(c.table, a.Table)
 		c.table = a.Table
 		c.publish(now)
 	case dogrange.Report:
@@ -66,7 +69,10 @@
 func (c *control) writeRange(ctx context.Context, a dogrange.WriteObject) {
 	c.n.metrics.Add(dogmetric.RangeRenewals, 1)
 	v, err := c.n.platform.Put(ctx, a.Name, a.Expected, a.Value)
-	if err != nil {
+	switch {
+	case errors.Is(err, dogwoodford.ErrConflict):
+		c.n.limited.Log(ctx, doglog.PlatformConflict, attr("object", a.Name))
+	case err != nil:
 		c.n.limited.Log(ctx, doglog.RangeRenewFailed, attr("object", a.Name), doglog.Err(err))
 	}
 	c.post(func(now time.Time) {
@@ -83,7 +89,10 @@
 			End: time.UnixMilli(a.Promise.End),
 		})
 	}
-	c.n.metrics.Add(dogmetric.RangePromises, 1)
+	if g.OK && err == nil {
+		c.n.metrics.Add(dogmetric.RangePromises, 1)
+		c.n.limited.Log(ctx, doglog.RangePromised, attr("range", a.Promise.Number), attr("witness", a.Promise.Witness))
+	}
 	c.post(func(now time.Time) {
 		c.onRanges(now, dogrange.PromiseAnswered{Op: a.Op, Granted: g.OK && err == nil})
 	})
@@ -154,11 +163,6 @@
 	switch r.Kind {
 	case "malformed", "restored":
 		ev = doglog.ObjectInvalid
-	case "taken":
-		ev = doglog.RangeTaken
-	case "taken-over":
-		ev = doglog.RangeTakenOver
-		c.n.metrics.Add(dogmetric.RangeTakeovers, 1)
 	}
 	c.n.log(ev, attr("kind", r.Kind), attr("range", r.Number), attr("epoch", r.Epoch))
 	if ev == doglog.ObjectInvalid {
@@ -166,6 +170,34 @@
 	}
 }
 
+// logOwners tells of the ranges of the own service that this node has taken,
+// and of those that an operator has released.
+func (c *control) logOwners(before, after *dogrange.Table) {
+	self := c.n.settings.Node
+	for i := range dogwoodford.KeyRanges {
+		was, is := before.Row(self.Service, i), after.Row(self.Service, i)
+		attrs := []slog.Attr{attr("range", i), attr("epoch", is.Epoch), attr("from", was.Owner)}
+		switch {
+		case was.Epoch == is.Epoch:
+		case is.Owner == "" && was.Owner != "":
+			c.n.log(doglog.RangeReleased, attrs...)
+		case is.Owner != self.Name || was.Owner == self.Name:
+		case was.Owner != "" && c.failed(was.Owner, was.OwnerIncarnation):
+			c.n.metrics.Add(dogmetric.RangeTakeovers, 1)
+			c.n.log(doglog.RangeTakenOver, attrs...)
+		default:
+			c.n.log(doglog.RangeTaken, attrs...)
+		}
+	}
+}
+
+// failed reports whether the process of a node is held for failed or was
+// replaced.
+func (c *control) failed(node string, incarnation uint64) bool {
+	m, ok := c.member.Member(node)
+	return !ok || m.State == dogwoodford.Failed || m.Started != incarnation
+}
+
 // owned returns the ranges of the own service that this node owns.
 func (c *control) owned() []int {
 	var out []int
--- a/io/process/dognode/suspects.go
+++ b/io/process/dognode/suspects.go
@@ -71,6 +71,11 @@
 	if len(digests) == 0 {
 		return
 	}
+	names := make([]string, len(digests))
+	for i, d := range digests {
+		names[i] = fmt.Sprintf("%016x", d)
+	}
+	g.c.n.log(doglog.SuspectReported, attr("death", id), attr("digests", names))
 	g.c.post(func(now time.Time) {
 		g.c.onSuspects(now, dogsuspect.TargetDied{ID: id, Service: self.Service, Digests: digests})
 	})
--- a/io/process/dogplatform/calls.go
+++ b/io/process/dogplatform/calls.go
@@ -244,9 +244,36 @@
 	if errors.Is(err, dogwoodford.ErrConflict) {
 		c.conflicts.Add(1)
 	}
+	c.observe(parent, method, path, err, failed)
 	return err
 }
 
+// observe leaves out calls that their caller cancelled, as they tell nothing
+// of the service.
+func (c *Client) observe(ctx context.Context, method, path string, err error, failed bool) {
+	switch {
+	case c.opt.Observe == nil || failed && errors.Is(ctx.Err(), context.Canceled):
+	case failed:
+		c.opt.Observe(kindOf(method, path), err)
+	default:
+		c.opt.Observe(kindOf(method, path), nil)
+	}
+}
+
+func kindOf(method, path string) string {
+	switch {
+	case method == http.MethodPut:
+		return "put"
+	case method == http.MethodDelete:
+		return "delete"
+	case strings.HasPrefix(path, "/v1/watch?"):
+		return "watch"
+	case strings.HasPrefix(path, "/v1/objects?"):
+		return "list"
+	}
+	return "get"
+}
+
 var errOpen = eris.New("circuit is open after failures")
 
 // once makes one HTTP call.
--- a/io/process/dogplatform/client.go
+++ b/io/process/dogplatform/client.go
@@ -23,6 +23,10 @@
 	PauseMax   time.Duration     // Longest pause between trials; 10 s.
 	OpenAfter  int               // Failures in a row that open the circuit; 4.
 	Ramp       int               // Successes after an outage until the rate of calls is free again; 8.
+	// Observe, if set, is told of each HTTP call when it has ended: its kind
+	// (get, list, put, delete, watch) and the error if it had no usable answer.
+	// It must be safe for concurrent use.
+	Observe func(kind string, err error)
 }
 
 // Counts are totals since the start, for metrics.
--- a/io/process/dogstatus/dogstatus.go
+++ b/io/process/dogstatus/dogstatus.go
@@ -85,7 +85,7 @@
 	Suspected bool   `json:"suspected,omitempty"`
 }
 
-// Range is a key range that the node owns or witnesses.
+// Range is a key range of the own service as the node sees it.
 type Range struct {
 	Service string    `json:"service"`
 	Number  int       `json:"number"`
--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -123,6 +123,7 @@
 		a.finish(e)
 		x.span.End(a.info.Outcome, a.info.Reason, a.status)
 		h.cfg.Counters.Answered(x.role, x.service, x.class, a.info.Outcome, a.info.Reason, time.Since(x.start))
+		h.cfg.Counters.Moved(x.role, x.body.received(), x.out)
 	}()
 	h.sendHeaders(x, a)
 	err := a.copyBody(x)
@@ -179,6 +180,7 @@
 		if _, err := x.w.Write(data); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 			return fmt.Errorf("%w: %w", errDownstream, err)
 		}
+		x.out += int64(len(data))
 		return nil
 	}
 	buf := buffers.Get().(*[]byte)
@@ -207,6 +209,7 @@
 			if _, werr := x.w.Write(buf[:n]); werr != nil {
 				return fmt.Errorf("%w: %w", errDownstream, werr)
 			}
+			x.out += int64(n)
 			left -= int64(n)
 		}
 		if err == io.EOF {
--- a/io/request/doghttp/body.go
+++ b/io/request/doghttp/body.go
@@ -34,6 +34,7 @@
 	ended   bool // src gave io.EOF.
 	stopped bool
 	err     error // First failure of src other than io.EOF.
+	count   int64 // Bytes read from src.
 }
 
 func newBody(r *http.Request, rc *http.ResponseController) *body {
@@ -119,6 +120,13 @@
 	return b.err
 }
 
+// received returns how many bytes were read from the caller.
+func (b *body) received() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count
+}
+
 // stop ends all reading, also reads in progress, as the request is over.
 func (b *body) stop() {
 	b.mu.Lock()
@@ -146,6 +154,7 @@
 	n, err := b.src.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.count += int64(n)
 	if limit >= 0 {
 		b.limit -= int64(n)
 		if b.limit < 0 {
--- a/io/request/doghttp/control.go
+++ b/io/request/doghttp/control.go
@@ -166,6 +166,8 @@
 	EventBadAnswer    Event = "bad-answer"     // A node's answer had bad headers.
 	EventUnframed     Event = "unframed"       // A target's answer does not say where it ends.
 	EventTruncated    Event = "answer-aborted" // An answer broke off after its headers.
+	EventCredential   Event = "bad-credential" // A caller gave a wrong customer or credential.
+	EventResends      Event = "resends-used"   // A resend was refused, as the budget of the customer is used up.
 )
 
 // Events takes events. It is safe for concurrent use and must not block.
@@ -177,6 +179,13 @@
 type Counters interface {
 	// Answered counts a request that a role answered.
 	Answered(role Role, service, class string, o dogwoodford.Outcome, reason dogwoodford.Reason, d time.Duration)
-	// Attempted counts a dispatch; further attempts are those above 1.
-	Attempted(role Role, service string, attempt int)
+	// Attempted counts a dispatch to a target; further attempts are those above 1.
+	Attempted(role Role, t dogwoodford.Target, attempt int)
+	// Guarded counts a call that the guard refused, with the reason, or let run
+	// after it was queued.
+	Guarded(reason dogwoodford.Reason, queued time.Duration)
+	// Served counts a call that the target answered, or failed to answer.
+	Served(d time.Duration)
+	// Moved counts the bytes of the bodies of a request and its answer.
+	Moved(role Role, in, out int64)
 }
--- a/io/request/doghttp/entry.go
+++ b/io/request/doghttp/entry.go
@@ -55,6 +55,7 @@
 		c.spec.Root = newToken()
 	}
 	if !h.resendAllowed(c.spec.Customer, contract, claims.Attempt) {
+		h.cfg.Events.Event(x.ctx, EventResends, c.spec.Root, nil)
 		return c.refuse(dogwoodford.ReasonRetries, time.Second)
 	}
 	return h.start(x, snap, c, limits.MaxBody, dogretry.NewLedger(c.spec.Retries), nil)
@@ -70,6 +71,7 @@
 	}
 	contract, ok := snap.Contract(claims.Customer)
 	if !ok || claims.Customer == "" || !contract.Authorized(claims.Credential) {
+		h.cfg.Events.Event(x.ctx, EventCredential, "", nil)
 		return nil, none, c.refuse(dogwoodford.ReasonCredential, 0)
 	}
 	if x.r.Method == http.MethodConnect || x.r.Method == http.MethodTrace {
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -66,6 +66,9 @@
 // the report of the guard and the retries used.
 func (h *Handlers) guard(ctx context.Context, c *call) *answer {
 	a := h.guarded(ctx, c)
+	if a.resp == nil && a.info.Outcome == dogwoodford.NotRun {
+		h.cfg.Counters.Guarded(a.info.Reason, 0)
+	}
 	a.info.Report = &dogcall.Report{Load: h.cfg.Gate.Load(), Called: h.cfg.Pressure.Called(time.Now(), dogwoodford.NewRequest(c.spec))}
 	return a
 }
@@ -113,11 +116,13 @@
 
 // queue waits for admission and runs the call.
 func (h *Handlers) queue(ctx context.Context, c *call, r dogwoodford.Request) *answer {
+	entered := time.Now()
 	v := h.cfg.Gate.enter(ctx, r)
 	if v.Action() != dogwoodford.Run {
 		return refusal(dogwoodford.NotRun, v.Reason(), v.RetryAfter())
 	}
 	start := time.Now()
+	h.cfg.Counters.Guarded(dogwoodford.ReasonNone, start.Sub(entered))
 	if !r.Key().IsZero() && !h.given.give(start, r.Key()) {
 		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{Cancelled: true})
 		h.cfg.Events.Event(ctx, EventDuplicate, r.Root(), nil)
@@ -140,6 +145,7 @@
 	}
 	a.onEnd(func(e ending) {
 		h.unregister(r.ID())
+		h.cfg.Counters.Served(time.Since(start))
 		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{
 			Latency:   time.Since(start),
 			Failed:    e == truncated || a.status >= 500,
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwoodford"
@@ -41,6 +42,7 @@
 	cfg     Config
 	resends *dogretry.Resends
 	given   givenKeys
+	present atomic.Int64 // Requests at the entry and the exit.
 
 	mu       sync.Mutex
 	progress map[string]*progress // By token.
@@ -88,6 +90,9 @@
 	}, h.peer)
 }
 
+// Present returns how many requests are at the entry and the exit.
+func (h *Handlers) Present() int64 { return h.present.Load() }
+
 // InProgress returns the digests of the requests in progress at the target,
 // for the report of suspects when the target dies.
 func (h *Handlers) InProgress() []uint64 {
@@ -134,6 +139,7 @@
 	// answers are finished if the request panics, so that nothing that it holds
 	// is kept from other requests.
 	answers []*answer
+	out     int64 // Bytes of the body of the answer.
 	// traceparent is what hops below send on.
 	traceparent string
 	service     string
@@ -147,6 +153,10 @@
 		x := &exchange{w: w, r: r, rc: http.NewResponseController(w), role: role(r), start: time.Now()}
 		x.ctx, x.traceparent, x.span = h.cfg.Tracer.Start(r.Context(), x.role, firstTraceparent(r.Header))
 		x.body = newBody(r, x.rc)
+		if x.role == RoleEntry || x.role == RoleExit {
+			h.present.Add(1)
+			defer h.present.Add(-1)
+		}
 		defer h.recover(x)
 		defer x.body.stop()
 		// Without it, HTTP/1.1 ends the request body when the answer starts.
@@ -212,6 +222,9 @@
 func (nothing) Call(dogwoodford.Request)                         {}
 func (nothing) End(dogwoodford.Outcome, dogwoodford.Reason, int) {}
 func (nothing) Event(context.Context, Event, string, error)      {}
-func (nothing) Attempted(Role, string, int)                      {}
+func (nothing) Attempted(Role, dogwoodford.Target, int)          {}
+func (nothing) Guarded(dogwoodford.Reason, time.Duration)        {}
+func (nothing) Served(time.Duration)                             {}
+func (nothing) Moved(Role, int64, int64)                         {}
 func (nothing) Answered(Role, string, string, dogwoodford.Outcome, dogwoodford.Reason, time.Duration) {
 }
--- a/io/request/doghttp/owner.go
+++ b/io/request/doghttp/owner.go
@@ -47,6 +47,7 @@
 		Attempt: c.spec.Attempt, Fresh: c.fresh,
 	})
 	if b.Seen && c.spec.Attempt <= 1 && !h.seenAllowed(snap, c.spec.Customer) {
+		h.cfg.Events.Event(c.x.ctx, EventResends, c.spec.Root, nil)
 		if b.Run {
 			h.cfg.Records.Finish(key, dogwoodford.NotRun, nil)
 			return notRun(dogwoodford.ReasonRetries)
--- a/io/request/doghttp/send.go
+++ b/io/request/doghttp/send.go
@@ -33,7 +33,7 @@
 			}
 			last.finish(aborted)
 		}
-		h.cfg.Counters.Attempted(c.role, c.spec.Service, n)
+		h.cfg.Counters.Attempted(c.role, t, n)
 		// A non-idempotent call has no further attempt after a lost answer, so
 		// there is nothing to hold units back for.
 		share := ledger.Attempt(!c.spec.Idempotent)
