Show in the status what is in force, seen, shed and owned

Cause: the status printed one line for each node. It did not tell which nodes see a member otherwise, why requests are refused, or who owns ranges.

Ruled out: refusals in the status page itself. They are metrics already, so the command reads GET /metrics beside it; a node without it is still shown.

Change: sections below the table, each only if there is something to show.

--- a/io/process/dogcli/fakes_test.go
+++ b/io/process/dogcli/fakes_test.go
@@ -108,7 +108,11 @@
 	return nil, 0, dogwoodford.ErrUnavailable
 }
 
-// nodes serves the status of nodes by address, without a network.
+// metrics is the address prefix under which nodes hold counters.
+const metrics = "metrics "
+
+// nodes serves the status of nodes by address, without a network. Under the
+// prefix metrics it holds a status whose only problem is the text of metrics.
 type nodes map[string]func() dogstatus.Status
 
 // RoundTrip implements http.RoundTripper.
@@ -124,6 +128,12 @@
 	case "POST " + dogstatus.ReleasePath:
 		n.release(r.URL.Host, r.FormValue("digest"))
 		w.WriteHeader(http.StatusAccepted)
+	case "GET " + dogstatus.MetricsPath:
+		if describe, ok := n[metrics+r.URL.Host]; ok {
+			_, _ = w.WriteString(describe().Problems[0])
+			break
+		}
+		http.NotFound(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- a/io/process/dogcli/script_test.go
+++ b/io/process/dogcli/script_test.go
@@ -16,7 +16,7 @@
 
 // TestScripts runs the scripts in testdata; each says which failure it guards
 // against. The files "object NAME" are what the platform holds, the files
-// "node ADDRESS" the status of nodes. The clock starts at 2000-01-01 00:00 UTC
+// "node ADDRESS" the status of nodes, "metrics ADDRESS" their metrics. The clock starts at 2000-01-01 00:00 UTC
 // and is paused. Lines of the file "script":
 //
 //	lose N effect|none   the next N writes are not answered and do or do not take effect
@@ -66,6 +66,9 @@
 				t.Fatal(err)
 			}
 			s.ns[name] = func() dogstatus.Status { return st }
+		case "metrics":
+			text := string(f.Data)
+			s.ns[metrics+name] = func() dogstatus.Status { return dogstatus.Status{Problems: []string{text}} }
 		case "script":
 			lines = string(f.Data)
 		default:
--- a/io/process/dogcli/status.go
+++ b/io/process/dogcli/status.go
@@ -44,7 +44,8 @@
 				return usagef("--node is needed")
 			}
 			nodes := a.readNodes(ctx, cmd.StringSlice("node"), cmd.Bool("all"))
-			if err := a.print(nodes, func(w io.Writer) { writeNodes(w, nodes) }); err != nil {
+			a.readCounters(ctx, nodes)
+			if err := a.print(nodes, func(w io.Writer) { writeStatus(w, nodes) }); err != nil {
 				return err
 			}
 			return a.after(unreachable(nodes))
@@ -56,6 +57,8 @@
 	Address string            `json:"address"`
 	Error   string            `json:"error,omitempty"`
 	Status  *dogstatus.Status `json:"status,omitempty"`
+	// Counters are nil if the metrics could not be read.
+	Counters *dogstatus.Counters `json:"counters,omitempty"`
 }
 
 // readNodes reads the nodes at the addresses and, with all, the members that
@@ -86,25 +89,44 @@
 
 func (a *app) readOnce(ctx context.Context, addresses []string) []nodeView {
 	views := make([]nodeView, len(addresses))
+	atOnce(ctx, len(addresses), func(ctx context.Context, i int) {
+		views[i].Address = addresses[i]
+		s, err := dogstatus.Fetch(ctx, a.o.Client, addresses[i])
+		if err != nil {
+			views[i].Error = err.Error()
+			return
+		}
+		views[i].Status = &s
+	})
+	return views
+}
+
+// readCounters adds the counters of the nodes that gave a status.
+func (a *app) readCounters(ctx context.Context, nodes []nodeView) {
+	atOnce(ctx, len(nodes), func(ctx context.Context, i int) {
+		if nodes[i].Status == nil {
+			return
+		}
+		if c, err := dogstatus.FetchCounters(ctx, a.o.Client, nodes[i].Address); err == nil {
+			nodes[i].Counters = &c
+		}
+	})
+}
+
+// atOnce calls read for 0 to n-1, several at once and each within nodeTimeout.
+func atOnce(ctx context.Context, n int, read func(ctx context.Context, i int)) {
 	slots := make(chan struct{}, readers)
 	var wg sync.WaitGroup
-	for i, address := range addresses {
+	for i := range n {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
 			ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 			defer cancel()
-			views[i].Address = address
-			s, err := dogstatus.Fetch(ctx, a.o.Client, address)
-			if err != nil {
-				views[i].Error = err.Error()
-				return
-			}
-			views[i].Status = &s
+			read(ctx, i)
 		})
 	}
 	wg.Wait()
-	return views
 }
 
 // unreachable returns an error if a node gave no answer.
@@ -143,18 +165,6 @@
 			strings.Join(contracts, " "))
 	}
 	flush(tw)
-	for _, n := range nodes {
-		if n.Status == nil {
-			continue
-		}
-		for _, p := range n.Status.Problems {
-			fmt.Fprintf(w, "%s: %s\n", n.Status.Node, p)
-		}
-		for _, q := range n.Status.Quarantines {
-			fmt.Fprintf(w, "%s: content %s of service %s is refused until %s\n", n.Status.Node, q.Digest, q.Service,
-				q.Until.Format(time.RFC3339))
-		}
-	}
 }
 
 // inForce is one customer in the result of contract status.
--- a/io/process/dognode/admin.go
+++ b/io/process/dognode/admin.go
@@ -26,7 +26,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+dogstatus.Path, dogstatus.Handler(n.status))
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.Handle("GET "+dogstatus.MetricsPath, n.metrics.Handler())
 	mux.HandleFunc("GET /healthz", n.healthz)
 	mux.HandleFunc("POST "+dogstatus.ReleasePath, n.release)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/io/process/dogstatus/dogstatus.go
+++ b/io/process/dogstatus/dogstatus.go
@@ -18,6 +18,9 @@
 // POST with the parameter digest.
 const ReleasePath = "/quarantines/release"
 
+// MetricsPath is where a node serves its metrics as JSON.
+const MetricsPath = "/metrics"
+
 // maxBytes bounds a status; one member takes about 250 bytes.
 const maxBytes = 4 << 20
 
@@ -103,6 +106,14 @@
 	Until   time.Time `json:"until"`
 }
 
+// Counters are the metrics of a node that say what it sheds, since its start.
+type Counters struct {
+	Requests      map[string]int64 `json:"requests"`       // At this entry, by outcome.
+	Refusals      map[string]int64 `json:"refusals"`       // At this entry, by reason.
+	GuardRefusals map[string]int64 `json:"guard_refusals"` // At this guard, by reason.
+	EarlyRefusals int64            `json:"early_refusals"` // Because of the cutoff of another service.
+}
+
 // Generation returns the generation in force for a customer; 0 if there is
 // none.
 func (s Status) Generation(customer string) int64 {
@@ -130,23 +141,39 @@
 // address and port.
 func Fetch(ctx context.Context, client *http.Client, admin string) (Status, error) {
 	var s Status
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+Path, nil)
-	if err != nil {
+	if err := get(ctx, client, admin, Path, &s); err != nil {
 		return s, fmt.Errorf("status of %s: %w", admin, err)
 	}
+	if s.Node == "" {
+		return s, fmt.Errorf("status of %s: no node name: %w", admin, ErrStatus)
+	}
+	return s, nil
+}
+
+// FetchCounters reads the counters of the node with the given admin listener.
+func FetchCounters(ctx context.Context, client *http.Client, admin string) (Counters, error) {
+	var c Counters
+	if err := get(ctx, client, admin, MetricsPath, &c); err != nil {
+		return c, fmt.Errorf("metrics of %s: %w", admin, err)
+	}
+	return c, nil
+}
+
+func get(ctx context.Context, client *http.Client, admin, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+path, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return s, fmt.Errorf("status of %s: %w", admin, err)
+		return fmt.Errorf("read: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return s, fmt.Errorf("status of %s: HTTP status %d: %w", admin, resp.StatusCode, ErrStatus)
+		return fmt.Errorf("HTTP status %d: %w", resp.StatusCode, ErrStatus)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(&s); err != nil {
-		return s, fmt.Errorf("status of %s: %w: %w", admin, ErrStatus, err)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(out); err != nil {
+		return fmt.Errorf("%w: %w", ErrStatus, err)
 	}
-	if s.Node == "" {
-		return s, fmt.Errorf("status of %s: no node name: %w", admin, ErrStatus)
-	}
-	return s, nil
+	return nil
 }
