Tell admission and suspects how remote calls really ended

Cause: the handlers cancelled the context of a call before the steps that ask the context whether the caller went away. Each call that a guard got from another node, and each call of the own entry once its answer ended, counted as cancelled: the adaptive limit took no sample of it, and a target that died with it in progress reported no suspects.

Ruled out: asking the context of the caller's request instead, as it does not carry the deadline.

Change: the cancellation runs last (atLast).

--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -88,6 +89,11 @@
 // onEnd adds what to do when the answer has ended. The last added runs first.
 func (a *answer) onEnd(f func(ending)) { a.ends = append(a.ends, f) }
 
+// atLast adds what to do after everything that onEnd adds. The context of a
+// call is cancelled here: what was added by onEnd asks it whether the caller
+// went away.
+func (a *answer) atLast(f func(ending)) { a.ends = slices.Insert(a.ends, 0, f) }
+
 // finish ends the answer. Only the first call counts.
 func (a *answer) finish(e ending) {
 	a.once.Do(func() {
--- a/io/request/doghttp/doghttp_test.go
+++ b/io/request/doghttp/doghttp_test.go
@@ -228,7 +228,7 @@
 // that are lost when the verdict and the cancellation meet.
 func TestGateDropsRequestsWhoseCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewGate(&admission{limit: 1})
+		g := NewGate(&admission{limit: 1, c: &control{}})
 		request := func(id string) dogwoodford.Request {
 			return dogwoodford.NewRequest(dogwoodford.RequestSpec{ID: id})
 		}
--- a/io/request/doghttp/entry.go
+++ b/io/request/doghttp/entry.go
@@ -126,7 +126,7 @@
 	}
 	a := h.route(ctx, snap, c, ledger)
 	routed = true
-	a.onEnd(func(ending) { cancel() })
+	a.atLast(func(ending) { cancel() })
 	return a
 }
 
--- a/io/request/doghttp/exit.go
+++ b/io/request/doghttp/exit.go
@@ -69,7 +69,7 @@
 		}
 		return nil
 	})
-	a.onEnd(func(ending) { stop(); cancel() })
+	a.atLast(func(ending) { stop(); cancel() })
 	return a
 }
 
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -27,6 +27,8 @@
 	set     map[string]bool
 	records map[dogwoodford.Key]Begun
 	events  []Event
+	ends    []string // How requests ended at the target, as Suspects and Admission were told.
+	left    chan struct{}
 	panics  bool // Router.Pick panics once.
 }
 
@@ -60,6 +62,29 @@
 	c.events = append(c.events, e)
 }
 
+func (c *control) Enter(time.Time, string, uint64) dogwoodford.Verdict {
+	return dogwoodford.RunVerdict()
+}
+
+func (c *control) Leave(_ string, e End) {
+	c.tell([]string{"not-run", "completed", "broken"}[e])
+}
+
+func (c *control) tell(end string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ends = append(c.ends, end)
+}
+
+// told returns the ends since the last call.
+func (c *control) told() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.ends
+	c.ends = nil
+	return out
+}
+
 func (c *control) Begin(_ time.Time, a KeyAttempt) Begun {
 	k := a.Key
 	c.mu.Lock()
@@ -116,6 +141,7 @@
 type admission struct {
 	limit, running int
 	queue          []string
+	c              *control
 }
 
 func (a *admission) Offer(_ time.Time, r dogwoodford.Request) (dogwoodford.Verdict, []dogwoodford.Release) {
@@ -127,7 +153,14 @@
 	return dogwoodford.WaitVerdict(), nil
 }
 
-func (a *admission) Done(time.Time, string, dogwoodford.Sample) []dogwoodford.Release {
+func (a *admission) Done(_ time.Time, _ string, s dogwoodford.Sample) []dogwoodford.Release {
+	if s.Cancelled {
+		a.c.tell("cancelled")
+	}
+	select {
+	case a.c.left <- struct{}{}:
+	default: // Only scripts with the line "ends" take it.
+	}
 	a.running--
 	return a.Expire(time.Time{})
 }
@@ -165,7 +198,7 @@
 }
 
 func newMesh(t *testing.T, target string) *mesh {
-	c := &control{set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
+	c := &control{left: make(chan struct{}, 1), set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
 	m := &mesh{control: c}
 	listen := func(h http.Handler) string {
 		s := httptest.NewServer(h)
@@ -178,7 +211,7 @@
 		return New(Config{
 			Name: name, Service: service, TargetAddress: target, PeerKey: peerKey,
 			Control: c, Pressure: c, Records: c, Events: c, Peers: peers, Target: targets,
-			Gate: NewGate(&admission{limit: 100}), Router: NewBalancer(router{c}),
+			Suspects: c, Gate: NewGate(&admission{limit: 100, c: c}), Router: NewBalancer(router{c}),
 		})
 	}
 	for _, name := range []string{"rounds-1", "rounds-2"} {
--- a/io/request/doghttp/faults_test.go
+++ b/io/request/doghttp/faults_test.go
@@ -54,6 +54,11 @@
 			if _, err := client.Do(newRequest(t, method, m.entry+path, nil).WithContext(ctx)); !errors.Is(err, context.Canceled) {
 				t.Errorf("error %v, want a cancellation", err)
 			}
+		case "ends":
+			<-m.left // The answer may arrive before its end is told.
+			if got := strings.Join(m.told(), " "); got != rest {
+				t.Errorf("ends %q, want %q", got, rest)
+			}
 		case "want":
 			target.mu.Lock()
 			got += fmt.Sprintf(" %d", target.runs)
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -48,7 +48,7 @@
 	} else {
 		a = h.guard(ctx, c)
 	}
-	a.onEnd(func(ending) { cancel() })
+	a.atLast(func(ending) { cancel() })
 	return a
 }
 
