--- a/io/process/dognode/ranges.go
+++ b/io/process/dognode/ranges.go
@@ -181,7 +181,8 @@
 		case was.Epoch == is.Epoch:
 		case is.Owner == "" && was.Owner != "":
 			c.n.log(doglog.RangeReleased, attrs...)
-		case is.Owner != self.Name || was.Owner == self.Name:
+		case is.Owner != self.Name || is.OwnerIncarnation != uint64(c.n.started.UnixMilli()):
+		case was.Owner == self.Name && was.OwnerIncarnation == is.OwnerIncarnation:
 		case was.Owner != "" && c.failed(was.Owner, was.OwnerIncarnation):
 			c.n.metrics.Add(dogmetric.RangeTakeovers, 1)
 			c.n.log(doglog.RangeTakenOver, attrs...)
