--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -24,6 +24,7 @@
 			Service:     n.settings.Node.Service,
 			DataCentre:  n.settings.Node.DataCentre,
 			Peer:        n.settings.Listen.Peer,
+			Admin:       n.settings.Listen.Admin,
 			Slots:       n.settings.Target.Slots,
 		},
 		Seeds:    n.settings.Peer.Seeds,
@@ -72,7 +73,7 @@
 		c.onConfig(now, dogconfig.WatcherChanged{Watcher: a.Keeper})
 	case dogmember.BeginDrain:
 		c.n.log(doglog.DrainMarked)
-		c.n.drain.begin()
+		c.n.drain.mark()
 	case dogmember.MemberFailed:
 		c.n.metrics.Add(dogmetric.MemberFailures, 1)
 		c.n.log(doglog.MemberFailed, attr("member", a.Member.Node), attr("service", a.Member.Service))
@@ -134,6 +135,7 @@
 	all := c.member.Members()
 	out := make([]dogrange.Member, 0, len(all))
 	for _, m := range all {
+		c.logMember(m)
 		out = append(out, dogrange.Member{
 			Node:        m.Node,
 			Incarnation: m.Started,
@@ -147,6 +149,27 @@
 	c.publish(now)
 }
 
+// logMember tells of a member that is new or whose state has changed. Failures
+// have an event of their own.
+func (c *control) logMember(m dogmember.Member) {
+	was, known := c.known[m.Node]
+	c.known[m.Node] = m
+	ev := doglog.MemberChanged
+	switch {
+	case m.State == dogwoodford.Failed:
+		return
+	case m.State == dogwoodford.Left && was.State != dogwoodford.Left:
+		ev = doglog.MemberLeft
+	case m.Present() && (!known || m.Started != was.Started):
+		ev = doglog.MemberJoined
+	case m.Suspected && !was.Suspected:
+		ev = doglog.MemberSuspected
+	case m.State == was.State && m.Suspected == was.Suspected:
+		return
+	}
+	c.n.log(ev, attr("member", m.Node), attr("service", m.Service), attr("state", m.State.String()))
+}
+
 // deliver hands an update to the package that it is for.
 func (c *control) deliver(now time.Time, d dogmember.Deliver) {
 	switch v := d.Update.Value.(type) {
--- a/io/request/doghttp/body.go
+++ b/io/request/doghttp/body.go
@@ -41,6 +41,7 @@
 	ended   bool // src gave io.EOF.
 	stopped bool
 	err     error // First failure of src other than io.EOF.
+	count   int64 // Bytes read from src.
 }
 
 func newBody(r *http.Request, rc *http.ResponseController) *body {
@@ -133,6 +134,13 @@
 	return b.err
 }
 
+// received returns how many bytes were read from the caller.
+func (b *body) received() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count
+}
+
 const (
 	// settleBytes is the length up to which an unread rest is read before an
 	// answer. Reading more costs more than a new connection.
@@ -208,6 +216,7 @@
 	n, err := b.src.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.count += int64(n)
 	if limit >= 0 {
 		b.limit -= int64(n)
 		if b.limit < 0 {
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -31,7 +31,9 @@
 	records map[dogwoodford.Key]Begun
 	moved   int // Owners asked before one has the range.
 	events  []Event
-	panics  string // What panics once: router or pressure.
+	panics  string   // What panics once: router or pressure.
+	ends    []string // How requests ended at the target, as Suspects and Admission were told.
+	left    chan struct{}
 }
 
 func (c *control) is(flag string) bool {
@@ -80,6 +82,29 @@
 	c.events = append(c.events, e)
 }
 
+func (c *control) Enter(time.Time, string, uint64) dogwoodford.Verdict {
+	return dogwoodford.RunVerdict()
+}
+
+func (c *control) Leave(_ string, e End) {
+	c.tell([]string{"not-run", "completed", "broken"}[e])
+}
+
+func (c *control) tell(end string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ends = append(c.ends, end)
+}
+
+// told returns the ends since the last call.
+func (c *control) told() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.ends
+	c.ends = nil
+	return out
+}
+
 func (c *control) Begin(_ time.Time, a KeyAttempt) Begun {
 	k := a.Key
 	if c.moved > 0 { // The range is on its way to this owner.
@@ -137,6 +162,7 @@
 type admission struct {
 	limit, running int
 	queue          []string
+	c              *control
 }
 
 func (a *admission) Offer(_ time.Time, r dogwoodford.Request) (dogwoodford.Verdict, []dogwoodford.Release) {
@@ -148,7 +174,14 @@
 	return dogwoodford.WaitVerdict(), nil
 }
 
-func (a *admission) Done(time.Time, string, dogwoodford.Sample) []dogwoodford.Release {
+func (a *admission) Done(_ time.Time, _ string, s dogwoodford.Sample) []dogwoodford.Release {
+	if s.Cancelled {
+		a.c.tell("cancelled")
+	}
+	select {
+	case a.c.left <- struct{}{}:
+	default: // Only scripts with the line "ends" take it.
+	}
 	a.running--
 	return a.Expire(time.Time{})
 }
@@ -197,7 +230,7 @@
 }
 
 func newMesh(t testing.TB, target string) *mesh {
-	c := &control{set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
+	c := &control{left: make(chan struct{}, 1), set: map[string]bool{}, records: map[dogwoodford.Key]Begun{}}
 	m := &mesh{control: c}
 	listen := func(h http.Handler) string {
 		s := httptest.NewUnstartedServer(h)
@@ -212,7 +245,7 @@
 		return New(Config{
 			Name: name, Service: service, TargetAddress: target, PeerKey: peerKey,
 			Control: c, Pressure: c, Records: c, Events: c, Peers: peers, Target: targets,
-			Gate: NewGate(&admission{limit: 100}), Router: NewBalancer(router{c}),
+			Suspects: c, Gate: NewGate(&admission{limit: 100, c: c}), Router: NewBalancer(router{c}),
 		})
 	}
 	for _, name := range []string{"rounds-1", "rounds-2"} {
