Measure what grows with members, services, targets and contracts

Ruled out: one large benchmark of a whole node, as its figure does not tell which part grows.

Change: benchmarks per size beside the code, a bench target that benchstat reads, and a script that measures one node process idle and under load.

Conclusion: each slope can be run again by one command.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL = $(GO) -C tools tool -n
 BIN = bin
 
-.PHONY: all build demo test fmt lint vet unit linkage bench generate clean
+.PHONY: all build demo test fmt lint vet unit linkage bench footprint generate clean
 
 all: build
 
@@ -39,8 +39,18 @@
 	$(GO) test -race -count=1 ./...
 	$(GO) test -count=1 -run '^TestTraces' ./core/process/dogreplay
 
+# Prints text that benchstat reads: make bench >new.txt. BenchmarkFleet steps
+# through seven minutes of virtual time, of which one run is enough.
+BENCH_COUNT ?= 3
+BENCH_TIME ?= 100ms
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./...
+	@cat /proc/loadavg 2>/dev/null | sed 's/^/load-average: /'
+	@$(GO) test -run '^$$' -bench . -skip '^BenchmarkFleet$$' -benchmem -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) ./...
+	@$(GO) test -run '^$$' -bench '^BenchmarkFleet$$' -benchtime 1x ./io/process/dogpeer
+
+# Resident memory and processor time of one node process, idle and under load.
+footprint: build
+	@scripts/footprint.sh
 
 # Needs protoc; the generated code is committed, so builds and tests do not.
 generate:
--- a/core/process/dogrecord/records_test.go
+++ b/core/process/dogrecord/records_test.go
@@ -280,6 +280,32 @@
 	}
 }
 
+// BenchmarkKeptAnswer reports the memory of one record by the size of the
+// answer that is kept with it.
+func BenchmarkKeptAnswer(b *testing.B) {
+	const held = 10_000
+	for _, size := range []int{0, 512, 4096} {
+		b.Run(fmt.Sprintf("answer=%d", size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r := New(Options{})
+				for i := range uint64(held) {
+					k := keyAt(t0.Add(time.Duration(i)*time.Millisecond), i)
+					if r.Begin(t0.Add(time.Minute), attempt(k, 1)).Run() {
+						r.Finish(k, Result{Outcome: dogwoodford.Ran, Status: 200, Answer: make([]byte, size)})
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(r)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/held, "B/record")
+		})
+	}
+}
+
 // BenchmarkBeginFinishParallel is the cost of one key under traffic from all
 // processors.
 func BenchmarkBeginFinishParallel(b *testing.B) {
