--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -143,8 +143,13 @@
 			State:       m.State,
 		})
 	}
+	// The table holds the members, so dogrange publishes a new one and the
+	// snapshot with it.
+	old := c.table
 	c.onRanges(now, dogrange.Members{Members: out})
-	c.publish(now)
+	if c.table == old {
+		c.publish(now)
+	}
 }
 
 // deliver hands an update to the package that it is for.
--- a/scripts/footprint.sh
+++ b/scripts/footprint.sh
@@ -80,7 +80,7 @@
 	echo "in progress: $n (load average: $(cut -d ' ' -f 1-3 /proc/loadavg))"
 	"$bin/dogload" -way node="http://127.0.0.1:$((base + 1))/rounds/sheets/1" -customer firm-1 \
 		-credential firm-1-sample-credential -rate "$n" -concurrent 4000 -duration 12s -warmup 4s \
-		-process node="$node,127.0.0.1:$((base + 4))" >"$work/table.txt" &
+		-process node="$node" >"$work/table.txt" &
 	load=$!
 	pids+=($load)
 	sleep 12
