--- a/core/process/dogrange/bench_test.go
+++ b/core/process/dogrange/bench_test.go
@@ -75,11 +75,14 @@
 }
 
 // BenchmarkService measures a second of all nodes of one service in the steady
-// state, and the calls of the platform, by the number of nodes.
+// state, the calls of the platform, and the reads of each node in the first
+// second after a start of all at once, by the number of nodes.
 func BenchmarkService(b *testing.B) {
 	for _, n := range []int{4, 20, 100} {
 		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
 			f := newFleetOf(n)
+			f.run(time.Second)
+			first := f.reads
 			f.run(time.Minute)
 			f.reads, f.writes = 0, 0
 			b.ReportAllocs()
@@ -90,6 +93,7 @@
 			}
 			b.StopTimer()
 			f.run(time.Duration(max(0, 300-ran)) * time.Second) // Rates of few seconds would be noise.
+			b.ReportMetric(float64(first)/float64(n), "first-reads/node")
 			b.ReportMetric(float64(f.reads)/float64(max(ran, 300)), "reads/s")
 			b.ReportMetric(float64(f.writes)/float64(max(ran, 300)), "writes/s")
 		})
--- a/core/process/dogrecord/records_test.go
+++ b/core/process/dogrecord/records_test.go
@@ -306,6 +306,37 @@
 	}
 }
 
+// BenchmarkGiven reports the cost of one key at a guard and the memory of one
+// while that many are held.
+func BenchmarkGiven(b *testing.B) {
+	for _, held := range []int{1e4, 1e5, 2e5} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			g := NewGiven(Options{Records: 1 << 30})
+			step := 10 * time.Minute / time.Duration(held)
+			now, i := t0, uint64(0)
+			one := func() {
+				i++
+				now = now.Add(step)
+				g.Take(now, keyAt(now, i))
+			}
+			for range held {
+				one()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for b.Loop() {
+				one()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(held), "B/key")
+			runtime.KeepAlive(g)
+		})
+	}
+}
+
 // BenchmarkBeginFinishParallel is the cost of one key under traffic from all
 // processors.
 func BenchmarkBeginFinishParallel(b *testing.B) {
--- a/io/process/dogpeer/fleet_bench_test.go
+++ b/io/process/dogpeer/fleet_bench_test.go
@@ -79,24 +79,28 @@
 	f.onChange, f.onFailed, f.onForce = nil, nil, nil
 	calls := len(f.store.calls)
 	for _, n := range f.nodes {
-		n.bytes, n.cpu = 0, 0
+		n.bytes, n.cpu, n.changes = 0, 0, 0
 	}
 	begin()
 	f.run(d)
 	var bytes, worst int64
 	var cpu time.Duration
-	up := 0
+	up, changes, most := 0, 0, 0
 	for _, n := range f.nodes {
 		if n.up {
 			up++
 			bytes += n.bytes
 			worst = max(worst, n.bytes)
 			cpu += n.cpu
+			changes += n.changes
+			most = max(most, n.changes)
 		}
 	}
 	report := func(v float64, unit string) { r.b.ReportMetric(v, name+"-"+unit) }
 	report(float64(bytes)/float64(up)/d.Seconds(), "B/s")
 	report(float64(worst)/d.Seconds(), "B/s-max")
+	report(float64(changes)/float64(up)/d.Seconds(), "views/s")
+	report(float64(most)/d.Seconds(), "views/s-max")
 	report(100*cpu.Seconds()/float64(up)/d.Seconds(), "%cpu")
 	report(float64(len(f.store.calls)-calls)/d.Seconds(), "platform/s")
 	for what, ts := range r.times {
--- a/io/process/dogpeer/fleet_calls_test.go
+++ b/io/process/dogpeer/fleet_calls_test.go
@@ -88,6 +88,7 @@
 	case dogmember.ContractsDiffer:
 		n.config(dogconfig.PeerDiffers{Peer: a.Peer})
 	case dogmember.Changed:
+		n.changes++
 		if n.f.onChange != nil {
 			n.f.onChange(n)
 		}
--- a/io/process/dogpeer/fleet_test.go
+++ b/io/process/dogpeer/fleet_test.go
@@ -46,6 +46,7 @@
 	m       *dogmember.Membership
 	c       *dogconfig.Config[string]
 	bytes   int64         // Sent and received.
+	changes int           // Changed views of the members.
 	cpu     time.Duration // Spent in decisions and encoding.
 	watched int64         // Revision up to which the watch has told.
 	watch   bool
