--- a/core/process/dogrecord/records_test.go
+++ b/core/process/dogrecord/records_test.go
@@ -280,6 +280,63 @@
 	}
 }
 
+// BenchmarkKeptAnswer reports the memory of one record by the size of the
+// answer that is kept with it.
+func BenchmarkKeptAnswer(b *testing.B) {
+	const held = 10_000
+	for _, size := range []int{0, 512, 4096} {
+		b.Run(fmt.Sprintf("answer=%d", size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r := New(Options{})
+				for i := range uint64(held) {
+					k := keyAt(t0.Add(time.Duration(i)*time.Millisecond), i)
+					if r.Begin(t0.Add(time.Minute), attempt(k, 1)).Run() {
+						r.Finish(k, Result{Outcome: dogwoodford.Ran, Status: 200, Answer: make([]byte, size)})
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(r)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/held, "B/record")
+		})
+	}
+}
+
+// BenchmarkGiven reports the cost of one key at a guard and the memory of one
+// while that many are held.
+func BenchmarkGiven(b *testing.B) {
+	for _, held := range []int{1e4, 1e5, 2e5} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			g := NewGiven(Options{Records: 1 << 30})
+			step := 10 * time.Minute / time.Duration(held)
+			now, i := t0, uint64(0)
+			one := func() {
+				i++
+				now = now.Add(step)
+				g.Take(now, keyAt(now, i))
+			}
+			for range held {
+				one()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for b.Loop() {
+				one()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(held), "B/key")
+			runtime.KeepAlive(g)
+		})
+	}
+}
+
 // BenchmarkBeginFinishParallel is the cost of one key under traffic from all
 // processors.
 func BenchmarkBeginFinishParallel(b *testing.B) {
--- a/io/process/dognode/member.go
+++ b/io/process/dognode/member.go
@@ -145,8 +145,13 @@
 			State:       m.State,
 		})
 	}
+	// The table holds the members, so dogrange publishes a new one and the
+	// snapshot with it.
+	old := c.table
 	c.onRanges(now, dogrange.Members{Members: out})
-	c.publish(now)
+	if c.table == old {
+		c.publish(now)
+	}
 }
 
 // logMember tells of a member that is new or whose state has changed. Failures
