--- /dev/null
+++ b/test/processes/outcome_test.go
@@ -0,0 +1,258 @@
+package processes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"dogwoodford"
+)
+
+// recorder is a target within the test that keeps the headers it receives.
+type recorder struct {
+	mu      sync.Mutex
+	headers http.Header
+}
+
+func (r *recorder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	switch req.URL.Path {
+	case "/health":
+	case "/load":
+		_, _ = w.Write([]byte(`{"slots":40}`))
+	case "/probe/slow":
+		<-req.Context().Done() // The node cancels at the deadline.
+	default:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.headers = req.Header.Clone()
+	}
+}
+
+func serveRecorder(t *testing.T, address string) *recorder {
+	t.Helper()
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{}
+	srv := &http.Server{Handler: r}
+	go func() { _ = srv.Serve(ln) }() // Ends with Close.
+	t.Cleanup(func() { _ = srv.Close() })
+	return r
+}
+
+// TestOutcomes guards against answers that are not whole, refusals with wrong
+// outcomes, and headers by which a caller takes more than its contract grants.
+func TestOutcomes(t *testing.T) {
+	f := newFleet(t, 7)
+	rounds := f.add("rounds-1", "midrand", "/sheets/ sequence GET /depot/stock/1; /collections sequence POST /billing/invoices")
+	depot := f.add("depot-1", "germiston", "/stock/ sequence GET /billing/invoices/1")
+	billing := f.add("billing-1", "soweto", "")
+	archive := f.add("archive-1", "midrand", "")
+	rec := serveRecorder(t, archive.address)
+	for _, w := range f.workers {
+		if w != archive {
+			f.startTarget(w)
+		}
+		f.startNode(w)
+	}
+	f.apply(1)
+	f.settled(1, f.workers...)
+	f.reach("/billing/invoices", f.workers...)
+
+	t.Run("three calls deep", func(t *testing.T) {
+		id := "deep-1"
+		r := f.send(t.Context(), billing.entry, http.MethodGet, "/rounds/sheets/1", "", "Dogfake-Id", id)
+		want := `{"service":"rounds","path":"/sheets/1","id":"deep-1","received":0}`
+		if r.status != 200 || r.outcome != "ran" || strings.TrimSpace(r.body) != want {
+			t.Errorf("got %v", r)
+		}
+		for _, w := range []*worker{rounds, depot, billing} {
+			var ran struct {
+				IDs map[string]struct{ Started, Completed int }
+			}
+			if err := f.get("http://"+w.address+"/control/ran", &ran); err != nil {
+				t.Fatal(err)
+			}
+			if c := ran.IDs[id]; c.Started != 1 || c.Completed != 1 {
+				t.Errorf("%s: %+v", w.name, c)
+			}
+		}
+	})
+	t.Run("headers raise nothing", func(t *testing.T) {
+		r := f.send(t.Context(), rounds.entry, http.MethodGet, "/archive/probe/1", "",
+			"Dogwoodford-Class", "sheet", "Dogwoodford-Importance", "7", "Dogwoodford-Retries", "9",
+			"Dogwoodford-Deadline-Ms", "60000", "Dogwoodford-Peer-Key", "key-between-test-nodes", "Dogwoodford-Hop", "0")
+		if r.outcome != "ran" {
+			t.Fatalf("got %v", r)
+		}
+		got := rec.headers
+		ms, err := strconv.Atoi(got.Get("Dogwoodford-Deadline-Ms"))
+		if err != nil || ms < 1 || ms > 400 || got.Get("Dogwoodford-Class") != "probe" || got.Get("Dogwoodford-Retries") != "0" {
+			t.Errorf("the target received %v", got)
+		}
+		for _, secret := range []string{"Authorization", "Dogwoodford-Peer-Key", "Dogwoodford-Importance"} {
+			if got.Get(secret) != "" {
+				t.Errorf("the target received %s", secret)
+			}
+		}
+	})
+	t.Run("child call without a token", func(t *testing.T) {
+		r := f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Dogwoodford-Retries", "9")
+		if r.outcome != "ran" || rec.headers.Get("Dogwoodford-Retries") != "0" {
+			t.Errorf("got %v, the target received %v", r, rec.headers)
+		}
+		r = f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Authorization", "Bearer x")
+		if r.reason != "credential" || r.outcome != "not-run" {
+			t.Errorf("got %v", r)
+		}
+		r = f.send(t.Context(), rounds.peer, http.MethodGet, "/rounds/sheets/1", "", "Dogwoodford-Peer-Key", "key-of-another-fleet")
+		if r.reason != "credential" || r.outcome != "not-run" {
+			t.Errorf("a call with a wrong peer key got %v", r)
+		}
+	})
+	t.Run("replay", func(t *testing.T) { f.replay(t, rounds, billing) })
+	t.Run("overload", func(t *testing.T) { f.overload(t, depot) })
+	f.script(t, rounds, "testdata/outcomes.txtar")
+	depot.target.kill()
+	f.eventually("the death of depot-1 is known", func() error { return f.memberIs(rounds, "depot-1", "starting") })
+	// A cutoff reported in the overload still counts for 2 s.
+	f.eventually("refusals without a target", func() error {
+		r := f.send(t.Context(), rounds.entry, http.MethodGet, "/depot/stock/1", "")
+		if r.outcome != "not-run" {
+			t.Errorf("without a target: %v", r)
+		}
+		if r.reason != "no-target" {
+			return fmt.Errorf("%v", r)
+		}
+		return nil
+	})
+	for key, n := range f.ran() {
+		if n > 1 {
+			t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+}
+
+// replay sends one key through two nodes: it runs once and both answers are
+// the same.
+func (f *fleet) replay(t *testing.T, workers ...*worker) {
+	key := newKey()
+	var bodies []string
+	for _, w := range workers {
+		r := f.send(t.Context(), w.entry, http.MethodPost, "/billing/invoices", "an invoice", "Dogwoodford-Key", key)
+		if r.outcome != "ran" || r.status != 200 {
+			t.Errorf("through %s: %v", w.name, r)
+		}
+		bodies = append(bodies, r.body)
+	}
+	if bodies[0] != bodies[1] || f.ran()[key] != 1 {
+		t.Errorf("ran %d times, answers %q", f.ran()[key], bodies)
+	}
+}
+
+// overload sends more than the target completes within the deadline: each
+// answer is whole, and each refusal says that the request did not run.
+func (f *fleet) overload(t *testing.T, w *worker) {
+	f.control(w.address, "/control/slow", `{"ms":300}`)
+	defer f.control(w.address, "/control/slow", `{"ms":0}`)
+	var wg sync.WaitGroup
+	results := make([]result, 300)
+	for i := range results {
+		wg.Go(func() {
+			results[i] = f.send(context.Background(), w.entry, http.MethodGet, "/depot/stock/1", "",
+				"Dogwoodford-Deadline-Ms", "1000", "Dogfake-Id", fmt.Sprintf("load-%d", i))
+		})
+	}
+	wg.Wait()
+	var ran struct {
+		IDs map[string]struct{ Started int }
+	}
+	if err := f.get("http://"+w.address+"/control/ran", &ran); err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for i, r := range results {
+		counts[r.outcome+" "+r.reason]++
+		started := ran.IDs[fmt.Sprintf("load-%d", i)].Started
+		switch {
+		case r.err != nil || r.outcome == "" || r.outcome == "not-run" && (started > 0 || r.reason == ""):
+			t.Errorf("started %d times: %v", started, r)
+		case r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") == "":
+			t.Errorf("no Retry-After: %v", r)
+		}
+	}
+	if counts["ran "] == 0 || counts["ran "] == len(results) {
+		t.Errorf("outcomes %v", counts)
+	}
+	t.Logf("outcomes %v", counts)
+}
+
+// reach waits until each worker knows the owners of all key ranges of the
+// service of path.
+func (f *fleet) reach(path string, workers ...*worker) {
+	f.t.Helper()
+	for _, w := range workers {
+		for n := range dogwoodford.KeyRanges {
+			f.eventually(fmt.Sprintf("%s reaches the owner of range %d", w.name, n), func() error {
+				k := newKey()
+				for key, err := dogwoodford.ParseKey(k); err == nil && key.Range() != n; key, err = dogwoodford.ParseKey(k) {
+					k = newKey()
+				}
+				if r := f.send(f.t.Context(), w.entry, http.MethodPost, path, "reach", "Dogwoodford-Key", k, "Dogwoodford-Attempt", "1"); r.outcome != "ran" {
+					return fmt.Errorf("%v", r)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+func (f *fleet) memberIs(at *worker, name, state string) error {
+	s, err := f.status(at)
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Members {
+		if m.Node == name && m.State == state {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not see %s as %s", at.name, name, state)
+}
+
+// script sends what a txtar file holds.
+func (f *fleet) script(t *testing.T, w *worker, file string) {
+	ar, err := txtar.ParseFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(d time.Duration) string { return dogwoodford.MakeKey(time.Now().Add(d), 1, 2).String() }
+	for _, c := range ar.Files {
+		t.Run(c.Name, func(t *testing.T) {
+			text := strings.NewReplacer("$KEY", newKey(), "$OLD", at(-11*time.Minute), "$FUTURE", at(time.Minute)).Replace(string(c.Data))
+			head, body, _ := strings.Cut(text, "\n\n")
+			lines := strings.Split(strings.TrimSpace(head), "\n")
+			method, path, _ := strings.Cut(lines[0], " ")
+			var header []string
+			for _, l := range lines[1:] {
+				name, value, _ := strings.Cut(l, ": ")
+				header = append(header, name, value)
+			}
+			r := f.send(t.Context(), w.entry, method, path, body, header...)
+			want := strings.Fields(c.Name)
+			got := fmt.Sprintf("%d %s %s", r.status, r.outcome, r.reason)
+			if got != strings.TrimSuffix(strings.Join(want[:3], " "), "-") || r.err != nil {
+				t.Errorf("got %v", r)
+			}
+		})
+	}
+}
