Print the load average of a benchmark run as a comment

Cause: benchstat took the line load-average: ... for a property of the run and put two runs with another load into separate tables without a comparison.

Ruled out: dropping the line, as elapsed times need it.

Figures: benchstat of two runs that differ in this line gave two tables before and one with both columns after.

Conclusion: runs compare again.

--- a/Makefile
+++ b/Makefile
@@ -40,11 +40,12 @@
 	$(GO) test -count=1 -run '^TestTraces' ./core/process/dogreplay
 
 # Prints text that benchstat reads: make bench >new.txt. BenchmarkFleet steps
-# through seven minutes of virtual time, of which one run is enough.
+# through seven minutes of virtual time, of which one run is enough. The load
+# average is a comment, as benchstat compares no runs with differing "key: value".
 BENCH_COUNT ?= 3
 BENCH_TIME ?= 100ms
 bench:
-	@cat /proc/loadavg 2>/dev/null | sed 's/^/load-average: /'
+	@echo "# load average: $$(cut -d ' ' -f 1-3 /proc/loadavg 2>/dev/null)"
 	@$(GO) test -run '^$$' -bench . -skip '^BenchmarkFleet$$' -benchmem -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) ./...
 	@$(GO) test -run '^$$' -bench '^BenchmarkFleet$$' -benchtime 1x ./io/process/dogpeer
 
