Keep refused uploads from breaking their connection

Cause: the handlers switched each HTTP/1.1 request to full duplex at once. If it was refused before its body was read, net/http skipped the body only after the answer and then panicked with "invalid concurrent Body.Read call" on the next request of the connection, which was cut without an answer.

Ruled out: reading the body of each refused request, as a slow caller would hold the refusal up.

Change: full duplex begins when a body is first read or sent on. An answer that starts while the body is still on its way closes the connection, unless net/http can skip the rest (up to 64 KiB of known length).

--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -165,6 +165,9 @@
 			out.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 		}
 	}
+	if x.body.mustClose() {
+		out.Set("Connection", "close")
+	}
 	x.sent = true
 	x.w.WriteHeader(a.status)
 }
--- a/io/request/doghttp/body.go
+++ b/io/request/doghttp/body.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	limit   int64 // Bytes that may still be read; negative without a bound.
 	prefix  []byte
+	streams bool // stream was called.
 	whole   bool // prefix is the whole body.
 	taken   bool // The part behind prefix was handed out.
 	ended   bool // src gave io.EOF.
@@ -45,6 +46,34 @@
 	return b
 }
 
+// stream lets the body be read while the answer is sent. Without it, HTTP/1.1
+// ends the request body when the answer starts. It must come before the
+// headers of the answer. It is not called for a request that is refused before
+// its body is read, as net/http then panics on the next request of the
+// connection. Other protocols do not need it and say that it is not supported.
+func (b *body) stream() {
+	if !b.streams && b.rc != nil {
+		b.streams = true
+		_ = b.rc.EnableFullDuplex()
+	}
+}
+
+// mustClose reports whether an HTTP/1.1 connection can't be used again once
+// the answer, whose headers follow, has been sent: the rest of the body is on
+// the way, and net/http does not skip it.
+func (b *body) mustClose() bool {
+	b.mu.Lock()
+	ended := b.ended
+	b.mu.Unlock()
+	if ended || b.r.ProtoMajor != 1 {
+		return false
+	}
+	if b.length < 0 || b.length > dogdigest.BodyBytes {
+		b.stream() // Else net/http would wait for the body before the answer.
+	}
+	return b.streams
+}
+
 // bound limits the length to n bytes; negative n means no bound.
 func (b *body) bound(n int64) error {
 	if n >= 0 && b.length > n {
@@ -58,6 +87,7 @@
 // them to d if it is not nil.
 func (b *body) fill(d *dogdigest.Digest) error {
 	if !b.whole {
+		b.stream()
 		size := int64(dogdigest.BodyBytes)
 		if b.length >= 0 {
 			size = min(size, b.length)
@@ -90,6 +120,9 @@
 		return errTaken
 	}
 	b.taken = true
+	if !b.whole {
+		b.stream()
+	}
 	out.ContentLength = b.length
 	if b.whole && b.length == 0 && len(b.r.Trailer) == 0 {
 		out.Body = http.NoBody
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -159,11 +158,6 @@
 		}
 		defer h.recover(x)
 		defer x.body.stop()
-		// Without it, HTTP/1.1 ends the request body when the answer starts.
-		// Other protocols do not need it and say that it is not supported.
-		if err := x.rc.EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-			h.cfg.Events.Event(x.ctx, EventPanic, "", fmt.Errorf("full duplex: %w", err))
-		}
 		h.relay(x, serve(x))
 	})
 }
