dogconn: never send a call without a body again over HTTP/2

net/http sends a call without a body again after REFUSED_STREAM or a PROTOCOL_ERROR of the other side, whatever its method. Calls other than GET, HEAD, OPTIONS and TRACE kept their empty body, so a POST could run twice. Over HTTP/2 every call without a body now gets one that cannot be sent again. Nodes speak HTTP/1.1 today, where such calls are not repeated.

--- a/io/connection/dogconn/dogconn_test.go
+++ b/io/connection/dogconn/dogconn_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"dogwoodford/core/connection/dogoutcome"
 )
 
@@ -285,3 +288,101 @@
 	fmt.Println(resp.StatusCode, stage)
 	// Output: 200 headers
 }
+
+// Guards against a call without a body that goes out with a body, a length or
+// an encoding, which confuses servers.
+func TestEmptyCallIsWrittenWithoutBody(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan string, 1)
+		go func() {
+			defer close(got)
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			// All that is sent until the caller gives the call up.
+			data, _ := io.ReadAll(c)
+			got <- string(data)
+		}()
+		ctx, cancel := context.WithCancel(t.Context())
+		req := request(t, method, "http://"+ln.Addr().String()+"/a", nil).WithContext(ctx)
+		req.Host, req.Header = "rounds", http.Header{"User-Agent": nil}
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
+		})
+		tr := NewTarget(Options{MaxConns: 1})
+		tr.Do(req.WithContext(ctx))
+		tr.Close()
+		if diff := cmp.Diff(method+" /a HTTP/1.1\r\nHost: rounds\r\n\r\n", <-got); diff != "" {
+			t.Errorf("written bytes mismatch (-want +got):\n%s", diff)
+		}
+		ln.Close()
+	}
+}
+
+// resetStreams is a cleartext HTTP/2 server that ends each stream with an
+// error. It returns its address and the count of streams.
+func resetStreams(t *testing.T, code byte) (string, *atomic.Int32) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	streams := new(atomic.Int32)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				resetAll(c, code, streams)
+			}()
+		}
+	}()
+	return ln.Addr().String(), streams
+}
+
+func resetAll(c net.Conn, code byte, streams *atomic.Int32) {
+	const headers, settings = 1, 4
+	br := bufio.NewReader(c)
+	br.Discard(len("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"))
+	c.Write([]byte{0, 0, 0, settings, 0, 0, 0, 0, 0})
+	for {
+		var h [9]byte // Length, type, flags and stream of a frame.
+		if _, err := io.ReadFull(br, h[:]); err != nil {
+			return
+		}
+		br.Discard(int(h[0])<<16 | int(h[1])<<8 | int(h[2]))
+		switch {
+		case h[3] == settings && h[4] == 0:
+			c.Write([]byte{0, 0, 0, settings, 1, 0, 0, 0, 0})
+		case h[3] == headers:
+			streams.Add(1)
+			c.Write([]byte{0, 0, 4, 3, 0, h[5], h[6], h[7], h[8], 0, 0, 0, code})
+		}
+	}
+}
+
+// Guards against HTTP/2 sending a call without a body again after a stream
+// error, which would run a non-idempotent request twice.
+func TestStreamErrorIsNotReplayed(t *testing.T) {
+	for name, code := range map[string]byte{"protocol-error": 1, "refused-stream": 7} {
+		for _, method := range []string{"GET", "POST", "PUT", "DELETE"} {
+			t.Run(name+"/"+method, func(t *testing.T) {
+				addr, streams := resetStreams(t, code)
+				tr := NewPeer(Options{Protocol: HTTP2})
+				defer tr.Close()
+				_, stage, err := tr.Do(request(t, method, "http://"+addr+"/", nil))
+				if err == nil || stage != dogoutcome.Written || streams.Load() != 1 {
+					t.Errorf("error %v, stage %v, %d streams; want an error, written, 1", err, stage, streams.Load())
+				}
+			})
+		}
+	}
+}
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -108,7 +108,7 @@
 // anything may have been written; after NothingWritten or DialFailed nothing
 // will be. Do removes Idempotency-Key headers from req and clears GetBody.
 func (t *Transport) Do(req *http.Request) (*http.Response, dogoutcome.Stage, error) {
-	forbidReplay(req)
+	t.forbidReplay(req)
 	c := &call{shared: t.protocol == HTTP2}
 	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
 	if c.shared {
@@ -126,18 +126,23 @@
 // nothing was written. Without it, net/http repeats GET, HEAD, OPTIONS and
 // TRACE, and anything with an Idempotency-Key, when a reused connection
 // breaks, and HTTP/2 repeats any call without a body after some stream errors.
-func forbidReplay(req *http.Request) {
+func (t *Transport) forbidReplay(req *http.Request) {
 	req.GetBody = nil
 	req.Header.Del("Idempotency-Key")
 	req.Header.Del("X-Idempotency-Key")
-	if req.Body == nil || req.Body == http.NoBody {
-		switch req.Method {
-		case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-			// net/http finds the end of this body before it writes, so no
-			// body and no Transfer-Encoding is sent.
-			req.Body = emptyBody{}
-			req.ContentLength = 0
-		}
+	if req.Body != nil && req.Body != http.NoBody {
+		return
+	}
+	if t.protocol == HTTP2 {
+		// The end of the stream follows the headers in a frame of its own.
+		req.Body, req.ContentLength = emptyBody{}, 0
+		return
+	}
+	switch req.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		// net/http finds the end of this body before it writes, so no body and
+		// no Transfer-Encoding is sent.
+		req.Body, req.ContentLength = emptyBody{}, 0
 	}
 }
 
