--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -141,6 +141,13 @@
 func newFleet(t *testing.T, size int64) *fleet {
 	t.Helper()
 	t.Parallel()
+	return newFirstFleet(t, size)
+}
+
+// newFirstFleet is newFleet for the longest test, which gets its processes
+// before the others, so that the package ends in time.
+func newFirstFleet(t *testing.T, size int64) *fleet {
+	t.Helper()
 	if err := processes.Acquire(t.Context(), size); err != nil {
 		t.Fatal(err)
 	}
@@ -291,17 +298,13 @@
 			if err != nil {
 				return err
 			}
-			ready, owned := 0, 0
+			ready := 0
 			for _, m := range s.Members {
 				if names[m.Node] && m.State == "ready" {
 					ready++
 				}
 			}
-			for _, r := range s.Ranges {
-				if names[r.Owner] && (nodes[w.service] == 1 || names[r.Witness]) && !r.Start.After(time.Now()) {
-					owned++
-				}
-			}
+			owned := ownedRanges(s, names, nodes[w.service] > 1)
 			if ready != len(workers) || owned != dogwoodford.KeyRanges || s.Generation("firm-1") != generation {
 				return fmt.Errorf("%d members ready, %d ranges owned, generation %d", ready, owned, s.Generation("firm-1"))
 			}
@@ -310,6 +313,18 @@
 	}
 }
 
+// ownedRanges returns the number of ranges with an owner and, if asked, a
+// witness among names, and a window that has begun.
+func ownedRanges(s dogstatus.Status, names map[string]bool, witness bool) int {
+	n := 0
+	for _, r := range s.Ranges {
+		if names[r.Owner] && (!witness || names[r.Witness]) && !r.Start.After(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fleet) status(w *worker) (dogstatus.Status, error) {
 	return dogstatus.Fetch(f.t.Context(), f.client, w.admin)
 }
--- a/test/processes/outcome_test.go
+++ b/test/processes/outcome_test.go
@@ -52,7 +52,7 @@
 // TestOutcomes guards against answers that are not whole, refusals with wrong
 // outcomes, and headers by which a caller takes more than its contract grants.
 func TestOutcomes(t *testing.T) {
-	f := newFleet(t, 7)
+	f := newFleet(t, 8)
 	rounds := f.add("rounds-1", "midrand", "/sheets/ sequence GET /depot/stock/1; /collections sequence POST /billing/invoices")
 	depot := f.add("depot-1", "germiston", "/stock/ sequence GET /billing/invoices/1")
 	billing := f.add("billing-1", "soweto", "")
@@ -68,57 +68,9 @@
 	f.settled(1, f.workers...)
 	f.reach("/billing/invoices", f.workers...)
 
-	t.Run("three calls deep", func(t *testing.T) {
-		id := "deep-1"
-		r := f.send(t.Context(), billing.entry, http.MethodGet, "/rounds/sheets/1", "", "Dogfake-Id", id)
-		want := `{"service":"rounds","path":"/sheets/1","id":"deep-1","received":0}`
-		if r.status != 200 || r.outcome != "ran" || strings.TrimSpace(r.body) != want {
-			t.Errorf("got %v", r)
-		}
-		for _, w := range []*worker{rounds, depot, billing} {
-			var ran struct {
-				IDs map[string]struct{ Started, Completed int }
-			}
-			if err := f.get("http://"+w.address+"/control/ran", &ran); err != nil {
-				t.Fatal(err)
-			}
-			if c := ran.IDs[id]; c.Started != 1 || c.Completed != 1 {
-				t.Errorf("%s: %+v", w.name, c)
-			}
-		}
-	})
-	t.Run("headers raise nothing", func(t *testing.T) {
-		r := f.send(t.Context(), rounds.entry, http.MethodGet, "/archive/probe/1", "",
-			"Dogwoodford-Class", "sheet", "Dogwoodford-Importance", "7", "Dogwoodford-Retries", "9",
-			"Dogwoodford-Deadline-Ms", "60000", "Dogwoodford-Peer-Key", "key-between-test-nodes", "Dogwoodford-Hop", "0")
-		if r.outcome != "ran" {
-			t.Fatalf("got %v", r)
-		}
-		got := rec.headers
-		ms, err := strconv.Atoi(got.Get("Dogwoodford-Deadline-Ms"))
-		if err != nil || ms < 1 || ms > 400 || got.Get("Dogwoodford-Class") != "probe" || got.Get("Dogwoodford-Retries") != "0" {
-			t.Errorf("the target received %v", got)
-		}
-		for _, secret := range []string{"Authorization", "Dogwoodford-Peer-Key", "Dogwoodford-Importance"} {
-			if got.Get(secret) != "" {
-				t.Errorf("the target received %s", secret)
-			}
-		}
-	})
-	t.Run("child call without a token", func(t *testing.T) {
-		r := f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Dogwoodford-Retries", "9")
-		if r.outcome != "ran" || rec.headers.Get("Dogwoodford-Retries") != "0" {
-			t.Errorf("got %v, the target received %v", r, rec.headers)
-		}
-		r = f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Authorization", "Bearer x")
-		if r.reason != "credential" || r.outcome != "not-run" {
-			t.Errorf("got %v", r)
-		}
-		r = f.send(t.Context(), rounds.peer, http.MethodGet, "/rounds/sheets/1", "", "Dogwoodford-Peer-Key", "key-of-another-fleet")
-		if r.reason != "credential" || r.outcome != "not-run" {
-			t.Errorf("a call with a wrong peer key got %v", r)
-		}
-	})
+	t.Run("three calls deep", func(t *testing.T) { f.deep(t, billing.entry, rounds, depot, billing) })
+	t.Run("headers raise nothing", func(t *testing.T) { f.raise(t, rounds, rec) })
+	t.Run("child call without a token", func(t *testing.T) { f.withoutToken(t, rounds, rec) })
 	t.Run("replay", func(t *testing.T) { f.replay(t, rounds, billing) })
 	t.Run("overload", func(t *testing.T) { f.overload(t, depot) })
 	f.script(t, rounds, "testdata/outcomes.txtar")
@@ -142,6 +94,65 @@
 	}
 }
 
+// deep checks that a request three calls deep runs once at each target and is
+// answered whole.
+func (f *fleet) deep(t *testing.T, entry string, workers ...*worker) {
+	id := "deep-1"
+	r := f.send(t.Context(), entry, http.MethodGet, "/rounds/sheets/1", "", "Dogfake-Id", id)
+	want := `{"service":"rounds","path":"/sheets/1","id":"deep-1","received":0}`
+	if r.status != 200 || r.outcome != "ran" || strings.TrimSpace(r.body) != want {
+		t.Errorf("got %v", r)
+	}
+	for _, w := range workers {
+		var ran struct {
+			IDs map[string]struct{ Started, Completed int }
+		}
+		if err := f.get("http://"+w.address+"/control/ran", &ran); err != nil {
+			t.Fatal(err)
+		}
+		if c := ran.IDs[id]; c.Started != 1 || c.Completed != 1 {
+			t.Errorf("%s: %+v", w.name, c)
+		}
+	}
+}
+
+// raise checks that no header raises class, deadline or budget.
+func (f *fleet) raise(t *testing.T, rounds *worker, rec *recorder) {
+	r := f.send(t.Context(), rounds.entry, http.MethodGet, "/archive/probe/1", "",
+		"Dogwoodford-Class", "sheet", "Dogwoodford-Importance", "7", "Dogwoodford-Retries", "9",
+		"Dogwoodford-Deadline-Ms", "60000", "Dogwoodford-Peer-Key", "key-between-test-nodes", "Dogwoodford-Hop", "0")
+	if r.outcome != "ran" {
+		t.Fatalf("got %v", r)
+	}
+	got := rec.headers
+	ms, err := strconv.Atoi(got.Get("Dogwoodford-Deadline-Ms"))
+	if err != nil || ms < 1 || ms > 400 || got.Get("Dogwoodford-Class") != "probe" || got.Get("Dogwoodford-Retries") != "0" {
+		t.Errorf("the target received %v", got)
+	}
+	for _, secret := range []string{"Authorization", "Dogwoodford-Peer-Key", "Dogwoodford-Importance"} {
+		if got.Get(secret) != "" {
+			t.Errorf("the target received %s", secret)
+		}
+	}
+}
+
+// withoutToken checks that a call that belongs to no request in progress needs
+// a credential and gets no retry budget.
+func (f *fleet) withoutToken(t *testing.T, rounds *worker, rec *recorder) {
+	r := f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Dogwoodford-Retries", "9")
+	if r.outcome != "ran" || rec.headers.Get("Dogwoodford-Retries") != "0" {
+		t.Errorf("got %v, the target received %v", r, rec.headers)
+	}
+	r = f.send(t.Context(), rounds.exit, http.MethodGet, "/archive/probe/1", "", "Dogwoodford-Request", "unknown", "Authorization", "Bearer x")
+	if r.reason != "credential" || r.outcome != "not-run" {
+		t.Errorf("got %v", r)
+	}
+	r = f.send(t.Context(), rounds.peer, http.MethodGet, "/rounds/sheets/1", "", "Dogwoodford-Peer-Key", "key-of-another-fleet")
+	if r.reason != "credential" || r.outcome != "not-run" {
+		t.Errorf("a call with a wrong peer key got %v", r)
+	}
+}
+
 // replay sends one key through two nodes: it runs once and both answers are
 // the same.
 func (f *fleet) replay(t *testing.T, workers ...*worker) {
--- a/test/processes/platform_test.go
+++ b/test/processes/platform_test.go
@@ -21,7 +21,8 @@
 // platform that stop traffic, turn a contract back, run a key twice, or end in
 // a stampede of calls.
 func TestPlatform(t *testing.T) {
-	f := newFleet(t, 11)
+	f := newFirstFleet(t, 9)
+	t.Parallel()
 	one := f.add("billing-1", "midrand", "")
 	two := f.add("billing-2", "germiston", "")
 	three := f.add("billing-3", "soweto", "")
@@ -57,7 +58,6 @@
 	}
 	// A node that knows neither platform nor peers refuses.
 	alone := f.add("depot-1", "midrand", "")
-	f.startTarget(alone)
 	f.startNode(alone)
 	f.eventually("the node without a contract answers", func() error {
 		r := f.send(t.Context(), alone.entry, http.MethodGet, "/billing/invoices/1", "")
@@ -68,7 +68,6 @@
 	})
 	// A new node with seeds takes the contract from peers.
 	late := f.add("rounds-1", "germiston", "")
-	f.startTarget(late)
 	f.startNode(late, one.peer, two.peer)
 	f.inForce(3, late)
 	f.after(posts, down.Add(windows))
