--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -144,8 +144,8 @@
 	return newFirstFleet(t, size)
 }
 
-// newFirstFleet is newFleet for the longest test, which gets its processes
-// before the others, so that the package ends in time.
+// newFirstFleet is newFleet for tests that get their processes before the
+// others and fill the bound, so that the package ends in time.
 func newFirstFleet(t *testing.T, size int64) *fleet {
 	t.Helper()
 	if err := processes.Acquire(t.Context(), size); err != nil {
