--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -223,6 +223,7 @@
 	if _, err := x.w.Write(a.data); err != nil {
 		return fmt.Errorf("%w: %w", errDownstream, err)
 	}
+	x.out += int64(len(a.data))
 	return nil
 }
 
