dognode: a target that died is down, not draining

Cause: a node whose target had died refused new work as draining and reported a limit of 0. Routers take draining targets out of the two that unknown content may go to, so the content that had ended the first two went on to the others: four targets of four died within 60 ms in TestCrashingRequest.

Ruled out: a shifted view of the members, as all entries knew all four targets as ready when the second two died.

Change: a node refuses with the reason no-target while its target starts or is down, and as draining only while it drains.

--- a/io/process/dognode/control.go
+++ b/io/process/dognode/control.go
@@ -173,7 +173,7 @@
 		targets:  c.member.Targets(now),
 		table:    c.table,
 		suspects: c.suspects.View(),
-		draining: c.state != dogwoodford.Ready,
+		closed:   closed(c.state),
 	})
 }
 
--- a/io/process/dognode/snapshot.go
+++ b/io/process/dognode/snapshot.go
@@ -21,7 +21,7 @@
 	targets  map[string][]dogwoodford.Target
 	table    *dogrange.Table
 	suspects *dogsuspect.View
-	draining bool
+	closed   dogwoodford.Reason // Why the own target takes no new work.
 }
 
 // Snapshot implements doghttp.Control.
@@ -61,8 +61,20 @@
 	return e.Until.Sub(now), e.Standing == dogsuspect.Quarantined
 }
 
-// Draining reports whether this node takes no new work for its target.
-func (s *snapshot) Draining() bool { return s.draining }
+// Closed returns why the own target takes no new work.
+func (s *snapshot) Closed() dogwoodford.Reason { return s.closed }
+
+// closed returns the reason that goes with a state. A target that died is not
+// draining: for content that may have ended it, routers count it as before.
+func closed(s dogwoodford.State) dogwoodford.Reason {
+	switch s {
+	case dogwoodford.Ready:
+		return dogwoodford.ReasonNone
+	case dogwoodford.Draining, dogwoodford.Left:
+		return dogwoodford.ReasonDraining
+	}
+	return dogwoodford.ReasonNoTarget
+}
 
 // contract implements doghttp.Contract.
 type contract struct{ c *dogcontract.Contract }
--- a/io/request/doghttp/control.go
+++ b/io/request/doghttp/control.go
@@ -29,8 +29,9 @@
 	Owner(service string, key dogwoodford.Key, tried []string) (Owner, bool)
 	// Quarantined reports whether the content is quarantined, and for how long.
 	Quarantined(digest uint64) (time.Duration, bool)
-	// Draining reports whether this node takes no new work.
-	Draining() bool
+	// Closed returns why the own target takes no new work: ReasonDraining,
+	// ReasonNoTarget while it starts or is down, or empty.
+	Closed() dogwoodford.Reason
 }
 
 // Contract is the contract of one customer.
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -53,7 +53,13 @@
 
 func (c *control) Snapshot() Snapshot { return c }
 func (c *control) Configured() bool   { return !c.is("no-config") }
-func (c *control) Draining() bool     { return c.is("draining") }
+func (c *control) Closed() dogwoodford.Reason {
+	if c.is("draining") {
+		return dogwoodford.ReasonDraining
+	}
+	return dogwoodford.ReasonNone
+}
+
 func (c *control) Contract(customer string) (Contract, bool) {
 	return contract{}, customer == "firm-1"
 }
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -80,8 +80,8 @@
 	snap := h.cfg.Control.Snapshot()
 	now := time.Now()
 	spec := c.spec
-	if snap.Draining() {
-		return notRun(dogwoodford.ReasonDraining)
+	if reason := snap.Closed(); reason != dogwoodford.ReasonNone {
+		return notRun(reason)
 	}
 	if left, bad := snap.Quarantined(spec.Digest); bad && spec.Digest != 0 {
 		return refusal(dogwoodford.NotRun, dogwoodford.ReasonQuarantined, left)
