--- a/cmd/dogfake/internal/fakecollector/doc.go
+++ b/cmd/dogfake/internal/fakecollector/doc.go
@@ -11,7 +11,7 @@
 // Control of the stand-in:
 //
 //	POST /v1/traces           OTLP
-//	GET  /control/tree        the trace with the most spans, as a tree
+//	GET  /control/tree        the trace that reached the most services, as a tree
 //	GET  /control/tree?trace= the trace with this id in hexadecimal digits
 //
 // It does not store spans beyond the end of the process.
--- a/cmd/dogfake/internal/fakecollector/fakecollector.go
+++ b/cmd/dogfake/internal/fakecollector/fakecollector.go
@@ -125,13 +125,19 @@
 	writeTree(w, spans)
 }
 
-// largest returns the id of the trace with the most spans, the least id among
-// equals.
+// largest returns the id of the trace that reached the most services; among
+// equals, the one with the most spans, then the least id.
 func (s *Server) largest() string {
 	var best string
+	var most, length int
 	for id, spans := range s.traces {
-		if n := len(s.traces[best]); len(spans) > n || len(spans) == n && id < best {
-			best = id
+		services := make(map[string]bool)
+		for _, sp := range spans {
+			services[sp.attrs["dogwoodford.service"]] = true
+		}
+		n, l := len(services), len(spans)
+		if n > most || n == most && (l > length || l == length && id < best) {
+			best, most, length = id, n, l
 		}
 	}
 	return best
