--- a/test/processes/platform_test.go
+++ b/test/processes/platform_test.go
@@ -148,11 +148,6 @@
 	}
 }
 
-// moving is the number of ranges that can be refused in an outage: a range whose
-// handover is being written when the platform goes down has no window until it
-// is back, and each of the three nodes moves one range at a time.
-const moving = 3
-
 // after waits until requests of the key ranges ran whose keys were issued after
 // a time.
 func (f *fleet) after(c *callers, at time.Time) {
@@ -166,7 +161,7 @@
 				ranges[k.Range()] = true
 			}
 		}
-		if len(ranges) < dogwoodford.KeyRanges-moving {
+		if len(ranges) < dogwoodford.KeyRanges {
 			return fmt.Errorf("%d of %d ranges", len(ranges), dogwoodford.KeyRanges)
 		}
 		f.t.Logf("keys of %d ranges run", len(ranges))
