Share the start and end of processes between the scripts

Cause: measure.sh and footprint.sh had copies of the same functions, and ended processes by ids that may belong to others by then, as demo.sh did before.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,28 +8,7 @@
 
 bin=bin
 base=${DEMO_PORT:-27000} # First of 64 ports on 127.0.0.1.
-work=$(mktemp -d)
-declare -A pid_of
-
-stop() {
-	local code=$?
-	if [ $code -ne 0 ]; then tail -n 5 "$work"/*.log; fi
-	# Only jobs that still run: the id of one that has ended may belong to
-	# another process by now.
-	for p in $(jobs -pr); do kill "$p" 2>/dev/null || true; done
-	wait
-	if [ -n "${DEMO_LOGS:-}" ]; then cp -r "$work" "$DEMO_LOGS"; fi
-	rm -rf "$work"
-}
-trap stop EXIT
-
-# start NAME COMMAND...: starts a process whose output goes to NAME.log.
-start() {
-	local name=$1
-	shift
-	"$@" >"$work/$name.log" 2>&1 &
-	pid_of[$name]=$!
-}
+. scripts/processes.sh
 
 # port WORKER OFFSET: a port of a worker, counted from 1.
 port() { echo $((base + $1 * 8 + $2)); }
--- a/scripts/footprint.sh
+++ b/scripts/footprint.sh
@@ -11,25 +11,7 @@
 idle=${FOOTPRINT_IDLE:-20}    # Seconds of the idle measurement.
 sizes=("$@")
 if [ ${#sizes[@]} -eq 0 ]; then sizes=(10 100 1000); fi
-work=$(mktemp -d)
-pids=()
-
-stop() {
-	local code=$?
-	if [ $code -ne 0 ]; then tail -n 5 "$work"/*.log; fi
-	for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-	for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
-	rm -rf "$work"
-}
-trap stop EXIT
-
-# start NAME COMMAND...: starts a process whose output goes to NAME.log.
-start() {
-	local name=$1
-	shift
-	"$@" >"$work/$name.log" 2>&1 &
-	pids+=($!)
-}
+. scripts/processes.sh
 
 # usage PID: resident MB, and processor time in seconds.
 usage() { awk -v page="$(getconf PAGESIZE)" -v tick="$(getconf CLK_TCK)" '{ sub(/.*\) /, ""); print $22 * page / 1e6, ($12 + $13) / tick }' "/proc/$1/stat"; }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -18,25 +18,7 @@
 rate=${MEASURE_RATE:-200}
 duration=${MEASURE_DURATION:-15s}
 path=${MEASURE_PATH:-/sheets/1}
-work=$(mktemp -d)
-pids=()
-
-stop() {
-	local code=$?
-	if [ $code -ne 0 ]; then tail -n 5 "$work"/*.log; fi
-	for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-	for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
-	rm -rf "$work"
-}
-trap stop EXIT
-
-# start NAME COMMAND...: starts a process whose output goes to NAME.log.
-start() {
-	local name=$1
-	shift
-	"$@" >"$work/$name.log" 2>&1 &
-	pids+=($!)
-}
+. scripts/processes.sh
 
 platform=127.0.0.1:$base
 target=127.0.0.1:$((base + 1))
