--- a/cmd/dogwoodford/main.go
+++ b/cmd/dogwoodford/main.go
@@ -16,6 +16,7 @@
 		Stderr:   os.Stderr,
 		Platform: dialPlatform,
 		Run:      runNode,
+		Sidecar:  runSidecar,
 	})
 	stop()
 	os.Exit(code)
--- /dev/null
+++ b/core/process/dogbudget/doc.go
@@ -0,0 +1,15 @@
+// Package dogbudget bounds the further attempts that one node makes, so that
+// all nodes together stay within the retry budget of each service.
+//
+// The budget of a service over a sliding window is a ratio of the requests for
+// it plus a constant. A node takes its share of it: the ratio applies to its
+// own requests, and the constant is divided among the nodes.
+//
+// # Usage
+//
+//	b := dogbudget.New(dogbudget.Options{Ratio: 0.2, Slack: 48, Window: 10 * time.Second})
+//	b.First(now, "rounds")
+//	if b.Allow(now, "rounds", nodes) {
+//		// Send the request once more.
+//	}
+package dogbudget
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -41,6 +41,8 @@
 	// DialTimeout bounds a dial. Default 500 ms, which is far above the delay
 	// within a region and leaves time to try another target.
 	DialTimeout time.Duration
+	// Liveness says when a silent connection is given up.
+	Liveness Liveness
 }
 
 // Transport sends calls. It is safe for concurrent use.
@@ -72,7 +74,7 @@
 
 func newTransport(o Options) *Transport {
 	o = withDefaults(o)
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dialer := o.Liveness.Dialer(o.DialTimeout)
 	var p http.Protocols
 	p.SetHTTP1(o.Protocol == HTTP1)
 	p.SetUnencryptedHTTP2(o.Protocol == HTTP2)
--- a/io/process/dogcli/dogcli.go
+++ b/io/process/dogcli/dogcli.go
@@ -35,6 +35,8 @@
 	Platform func(address string) (dogwoodford.Platform, error)
 	// Run runs a node until ctx ends.
 	Run func(ctx context.Context, s dogsettings.Settings) error
+	// Sidecar runs a node with the settings of the platform until ctx ends.
+	Sidecar func(ctx context.Context) error
 	// Client reads the status of nodes; http.DefaultClient if nil.
 	Client *http.Client
 }
@@ -98,7 +100,7 @@
 		Writer:         a.o.Stdout,
 		ErrWriter:      a.o.Stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Main reports errors.
-		Commands: []*cli.Command{a.nodeCommand(), a.settingsCommand(), a.contractCommand(), a.statusCommand(),
+		Commands: []*cli.Command{a.nodeCommand(), a.sidecarCommand(), a.settingsCommand(), a.contractCommand(), a.statusCommand(),
 			a.rangeCommand(), a.quarantineCommand(), a.drainCommand()},
 	}
 	prepare(root)
@@ -139,6 +141,16 @@
 	}
 }
 
+func (a *app) sidecarCommand() *cli.Command {
+	return a.command("sidecar", "run a node on the platform, with the settings file that it provides", "", 0, 0, nil,
+		func(ctx context.Context, _ *cli.Command) error {
+			if err := a.o.Sidecar(ctx); err != nil {
+				return withCode(CodeFailed, err)
+			}
+			return nil
+		})
+}
+
 func (a *app) nodeCommand() *cli.Command {
 	flags := []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE` of the node"}}
 	return a.command("node", "run a node beside a target", "", 0, 0, flags,
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -31,6 +31,11 @@
 	KeyGivenTwice      = define(1111, "key-given-twice", slog.LevelWarn)
 	AnswerMalformed    = define(1112, "answer-malformed", slog.LevelWarn)
 	AnswerUnframed     = define(1113, "answer-unframed", slog.LevelWarn)
+	RequestFailed      = define(1114, "request-failed", slog.LevelInfo)
+	GuardRefused       = define(1115, "guard-refused", slog.LevelInfo)
+	TargetUnanswered   = define(1116, "target-unanswered", slog.LevelWarn)
+	PeerUnanswered     = define(1117, "peer-unanswered", slog.LevelWarn)
+	PeerCallRejected   = define(1118, "peer-call-rejected", slog.LevelWarn)
 )
 
 // Events of the target beside the node: 1200 to 1299.
@@ -96,3 +101,21 @@
 	DigestQuarantined = define(1702, "digest-quarantined", slog.LevelError)
 	DigestReleased    = define(1703, "digest-released", slog.LevelInfo)
 )
+
+// Events of a sidecar: 1800 to 1899.
+var (
+	HeartbeatRejected = define(1801, "heartbeat-rejected", slog.LevelWarn)
+	HeartbeatOutdated = define(1802, "heartbeat-outdated", slog.LevelInfo)
+	TargetState       = define(1803, "target-state", slog.LevelInfo)
+	EntryWritten      = define(1804, "entry-written", slog.LevelInfo)
+	EntrySeen         = define(1805, "entry-seen", slog.LevelInfo)
+	EntryRemoved      = define(1806, "entry-removed", slog.LevelInfo)
+	PeerUnreachable   = define(1807, "peer-unreachable", slog.LevelWarn)
+	PeerReachable     = define(1808, "peer-reachable", slog.LevelInfo)
+	StoreLost         = define(1809, "store-lost", slog.LevelWarn)
+	StoreBack         = define(1810, "store-back", slog.LevelInfo)
+	ConfigInForce     = define(1811, "config-in-force", slog.LevelInfo)
+	ConfigRejected    = define(1812, "config-rejected", slog.LevelError)
+	ConfigPullFailed  = define(1813, "config-pull-failed", slog.LevelWarn)
+	LogLinesDropped   = define(1814, "log-lines-dropped", slog.LevelWarn)
+)
--- a/io/process/dognode/node.go
+++ b/io/process/dognode/node.go
@@ -24,6 +24,7 @@
 	"dogwoodford/io/process/dogplatform"
 	"dogwoodford/io/process/dogsettings"
 	"dogwoodford/io/process/dogtrace"
+	"dogwoodford/io/request/doggate"
 	"dogwoodford/io/request/doghttp"
 )
 
@@ -54,7 +55,7 @@
 
 	control     *control
 	records     *dogrecord.Records
-	gate        *doghttp.Gate
+	gate        *doggate.Gate
 	suspectGate *suspectGate
 	handlers    *doghttp.Handlers
 	target      *targetWatch
@@ -142,7 +143,7 @@
 	n.peers = dogpeer.NewClient(dogpeer.ClientOptions{Key: settings.Peer.Key, Node: settings.Node.Name})
 	n.toPeers = dogconn.NewPeer(dogconn.Options{})
 	n.toTarget = dogconn.NewTarget(dogconn.Options{MaxConns: settings.Target.Connections})
-	n.gate = doghttp.NewGate(dogadmit.New(dogadmit.Options{Slots: settings.Target.Slots, Rand: newRand()}))
+	n.gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: settings.Target.Slots, Rand: newRand()}))
 	n.drain = newDrain(n)
 	n.contractWatch = newPrefixWatch(n, contractPrefix, func(now time.Time, o object) { n.control.contractSeen(now, o) })
 	n.drainWatch = newPrefixWatch(n, drainPrefix, func(now time.Time, o object) { n.control.drainSeen(now, o) })
@@ -159,7 +160,7 @@
 	return doghttp.Config{
 		Name: n.settings.Node.Name, Service: n.settings.Node.Service,
 		TargetAddress: n.settings.Target.Address, PeerKey: n.settings.Peer.Key,
-		Control: n.control, Gate: n.gate, Router: doghttp.NewBalancer(router),
+		Control: n.control, Gate: n.gate, Router: doggate.NewBalancer(router),
 		Pressure: newPressure(dogpressure.New(dogpressure.Options{Rand: newRand()}), n.metrics),
 		Records:  ownerRecords{c: n.control}, Suspects: suspects{n: n},
 		Tracer: tracer{t: n.tracer}, Events: events{n: n}, Counters: counters{n: n},
--- /dev/null
+++ b/io/process/dogsidecar/state.go
@@ -0,0 +1,245 @@
+package dogsidecar
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogbudget"
+	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/io/process/doglog"
+)
+
+// silentBeats is the number of missed heartbeats after which a target that
+// answers nothing counts as gone. Heartbeats may arrive seconds late.
+const silentBeats = 3
+
+// state is the control state of a node. It is safe for concurrent use, and
+// implements the interfaces through which the relay sees it.
+type state struct {
+	settings Settings
+	log      *logger
+	changed  chan struct{} // Gets a value when the own entry may have changed.
+	newer    chan string   // Gets the peer address of a node with a newer configuration.
+	version  func() int64
+	slots    func(n int) // Tells the gate how much the target runs at once.
+
+	mu       sync.Mutex
+	fleet    *dogfleet.Fleet
+	target   *dogtarget.Watch
+	last     dogwoodford.State // State of the target that was logged last.
+	budget   *dogbudget.Budget
+	stopping bool // The node answers that it is not ready.
+	closed   bool // The guard takes nothing new.
+	listed   bool // The entries in the store were read.
+}
+
+func newState(s Settings, log *logger, version func() int64) *state {
+	return &state{
+		settings: s, log: log, version: version,
+		changed: make(chan struct{}, 1), newer: make(chan string, 1),
+		fleet: dogfleet.New(),
+		target: dogtarget.New(dogtarget.Options{
+			Service: s.Service, Address: s.Target, Silence: silentBeats * s.Heartbeat,
+		}),
+		budget: dogbudget.New(dogbudget.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
+	}
+}
+
+// Beat implements Beats.
+func (s *state) Beat(r dogtarget.Report) dogtarget.Effect {
+	s.mu.Lock()
+	e := s.target.Observe(time.Now(), r)
+	s.noteTarget()
+	s.mu.Unlock()
+	if e == dogtarget.Accepted {
+		s.slots(r.Slots)
+	}
+	switch e {
+	case dogtarget.Foreign:
+		s.log.event(doglog.HeartbeatRejected, slog.String("target", r.ID), slog.String("service", r.Service),
+			slog.String("address", r.Address))
+	case dogtarget.Outdated:
+		s.log.event(doglog.HeartbeatOutdated, slog.String("target", r.ID), slog.Int64("born", r.Born),
+			slog.Int64("sequence", r.Sequence))
+	}
+	return e
+}
+
+// Leave implements Beats.
+func (s *state) Leave(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.target.Leave(id)
+	s.noteTarget()
+}
+
+// Reject implements Beats.
+func (s *state) Reject(err error) { s.log.event(doglog.HeartbeatRejected, doglog.Err(err)) }
+
+// noteTarget logs a change of the target's state and wakes the writer of the
+// own entry. It needs s.mu.
+func (s *state) noteTarget() {
+	st := s.target.State(time.Now())
+	if st == s.last {
+		return
+	}
+	r, _ := s.target.Report()
+	s.log.event(doglog.TargetState, slog.String("target", r.ID), slog.String("before", s.last.String()),
+		slog.String("state", st.String()), slog.Int64("born", r.Born), slog.Int64("sequence", r.Sequence),
+		slog.Int("slots", r.Slots))
+	s.last = st
+	s.wake()
+}
+
+func (s *state) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Current implements dogrelay.Local.
+func (s *state) Current() (dogtarget.Target, dogwoodford.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return dogtarget.Target{}, dogwoodford.ReasonDraining
+	}
+	t, ok := s.target.Current(time.Now())
+	s.noteTarget()
+	switch {
+	case ok:
+		return t, dogwoodford.ReasonNone
+	case s.last == dogwoodford.Draining || s.last == dogwoodford.Left:
+		return t, dogwoodford.ReasonDraining
+	}
+	return t, dogwoodford.ReasonNoTarget
+}
+
+// Answered implements dogrelay.Local.
+func (s *state) Answered(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.target.Answered(time.Now(), id)
+}
+
+// Lost implements dogrelay.Local.
+func (s *state) Lost(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.target.Lost(id)
+	s.noteTarget()
+}
+
+// Targets implements dogrelay.Fleet.
+func (s *state) Targets() []dogwoodford.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Targets()
+}
+
+// Nodes implements dogrelay.Fleet.
+func (s *state) Nodes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Len()
+}
+
+// Unreachable implements dogrelay.Fleet.
+func (s *state) Unreachable(node string) {
+	s.mu.Lock()
+	first := s.fleet.Unreachable(time.Now(), node)
+	s.mu.Unlock()
+	if first {
+		s.log.event(doglog.PeerUnreachable, slog.String("peer", node))
+	}
+}
+
+// Reachable implements dogrelay.Fleet.
+func (s *state) Reachable(node string) {
+	s.mu.Lock()
+	again := s.fleet.Reachable(node)
+	s.mu.Unlock()
+	if again {
+		s.log.event(doglog.PeerReachable, slog.String("peer", node))
+	}
+}
+
+// ConfigSeen implements dogrelay.Fleet.
+func (s *state) ConfigSeen(version int64, peer string) {
+	if version <= s.version() {
+		return
+	}
+	select {
+	case s.newer <- peer:
+	default:
+	}
+}
+
+// First implements dogrelay.Budget.
+func (s *state) First(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.First(time.Now(), service)
+}
+
+// Allow implements dogrelay.Budget.
+func (s *state) Allow(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Allow(time.Now(), service, s.fleet.Len())
+}
+
+// entry returns what the node says of itself in the store.
+func (s *state) entry() dogfleet.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := dogfleet.Entry{
+		Node: s.settings.Node, Service: s.settings.Service, DataCentre: s.settings.DataCentre,
+		Peer: s.settings.Inbound, State: s.target.State(time.Now()),
+	}
+	if r, ok := s.target.Report(); ok {
+		e.Slots = r.Slots
+	}
+	if s.closed {
+		e.State = dogwoodford.Draining
+	}
+	return e
+}
+
+func (s *state) stop(guard bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	s.closed = s.closed || guard
+	s.wake()
+}
+
+func (s *state) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+func (s *state) setListed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = true
+	s.wake()
+}
+
+func (s *state) isListed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
+}
+
+// refresh notices that the target has gone silent.
+func (s *state) refresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteTarget()
+}
--- /dev/null
+++ b/io/process/dogsidecar/view.go
@@ -0,0 +1,111 @@
+package dogsidecar
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/io/process/doglog"
+)
+
+// targetKind is the kind of the objects in which nodes announce themselves.
+const targetKind = "dogwoodford-targets"
+
+// put takes an entry of the store.
+func (s *state) put(e dogfleet.Entry, version int64) {
+	s.mu.Lock()
+	isNew := s.fleet.Put(time.Now(), e, version)
+	s.mu.Unlock()
+	if isNew {
+		s.log.event(doglog.EntrySeen, slog.String("peer", e.Node), slog.String("service", e.Service),
+			slog.String("state", e.State.String()), slog.Int64("revision", version))
+	}
+	if e.Node == s.settings.Node {
+		s.wake()
+	}
+}
+
+func (s *state) remove(name string, version int64) {
+	s.mu.Lock()
+	s.fleet.Remove(name, version)
+	s.mu.Unlock()
+	s.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Int64("revision", version))
+	if name == s.settings.Node {
+		s.wake()
+	}
+}
+
+// forget drops a node until its entry changes.
+func (s *state) forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, version, ok := s.fleet.Entry(name); ok {
+		s.fleet.Remove(name, version+1)
+	}
+}
+
+func (s *state) probes() []dogfleet.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Probes(time.Now())
+}
+
+func (s *state) stale() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Stale(time.Now())
+}
+
+func (s *state) entries() []versioned {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []versioned
+	for _, name := range s.fleet.Names() {
+		e, version, _ := s.fleet.Entry(name)
+		out = append(out, versioned{Entry: e, Version: version})
+	}
+	return out
+}
+
+// own returns the own entry as the store holds it, with its version.
+func (s *state) own() (dogfleet.Entry, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, version, _ := s.fleet.Entry(s.settings.Node)
+	return e, version
+}
+
+// watchEntries follows the entries of all nodes in the store.
+func (s *state) watchEntries(store dogwoodford.Store) *kindWatch {
+	take := func(o dogwoodford.Object) {
+		var e dogfleet.Entry
+		if err := json.Unmarshal(o.Value, &e); err != nil || e.Node != o.Name {
+			s.log.event(doglog.ObjectInvalid, slog.String("name", o.Name), doglog.Err(err))
+			return
+		}
+		s.put(e, o.Version)
+	}
+	return &kindWatch{
+		kind: targetKind, store: store, log: s.log,
+		listed: func(objects []dogwoodford.Object) {
+			names := make([]string, 0, len(objects))
+			for _, o := range objects {
+				names = append(names, o.Name)
+				take(o)
+			}
+			s.mu.Lock()
+			s.fleet.Keep(names)
+			s.mu.Unlock()
+			s.setListed()
+		},
+		changed: func(c dogwoodford.Change) {
+			if c.Deleted {
+				s.remove(c.Object.Name, c.Object.Version)
+				return
+			}
+			take(c.Object)
+		},
+	}
+}
--- a/io/request/doghttp/gate.go
+++ b/io/request/doggate/gate.go
@@ -1,4 +1,4 @@
-package doghttp
+package doggate
 
 import (
 	"context"
@@ -41,11 +41,11 @@
 	return g.adm.Load(time.Now())
 }
 
-// enter waits until r may run or is refused. If the verdict is Run, leave must
+// Enter waits until r may run or is refused. If the verdict is Run, Leave must
 // follow. A request whose ctx ends is taken out of the queue.
-func (g *Gate) enter(ctx context.Context, r dogwoodford.Request) dogwoodford.Verdict {
+func (g *Gate) Enter(ctx context.Context, r dogwoodford.Request) dogwoodford.Verdict {
 	if ctx.Err() != nil {
-		return dogwoodford.RefuseVerdict(reasonOf(ctx), 0)
+		return dogwoodford.RefuseVerdict(ReasonOf(ctx), 0)
 	}
 	ch, v := g.offer(r)
 	if v.Action() != dogwoodford.Wait {
@@ -79,7 +79,7 @@
 func (g *Gate) cancel(ctx context.Context, id string, ch chan dogwoodford.Verdict) dogwoodford.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	reason := reasonOf(ctx)
+	reason := ReasonOf(ctx)
 	now := time.Now()
 	if _, queued := g.waiting[id]; queued {
 		delete(g.waiting, id)
@@ -95,15 +95,16 @@
 	return v
 }
 
-// reasonOf returns why ctx has ended.
-func reasonOf(ctx context.Context) dogwoodford.Reason {
+// ReasonOf returns why ctx has ended.
+func ReasonOf(ctx context.Context) dogwoodford.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return dogwoodford.ReasonDeadline
 	}
 	return dogwoodford.ReasonCancelled
 }
 
-func (g *Gate) leave(id string, s dogwoodford.Sample) {
+// Leave records the end of a request that ran.
+func (g *Gate) Leave(id string, s dogwoodford.Sample) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.adm.Done(time.Now(), id, s))
@@ -128,51 +129,3 @@
 		}
 	}
 }
-
-// Balancer is a Router with the lock around it. It is safe for concurrent use.
-type Balancer struct {
-	mu     sync.Mutex
-	router dogwoodford.Router
-}
-
-// NewBalancer returns a balancer around r, which must not be used elsewhere.
-func NewBalancer(r dogwoodford.Router) *Balancer { return &Balancer{router: r} }
-
-// pick chooses a target and records the dispatch. The target on the node
-// named prefer is taken if the router permits it.
-func (b *Balancer) pick(r dogwoodford.Request, targets []dogwoodford.Target, tried []string, prefer string) (dogwoodford.Target, dogwoodford.Reason) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	if prefer != "" {
-		// The router sees all targets, as the two that unknown content may go
-		// to are chosen among them.
-		others := append([]string(nil), tried...)
-		for _, t := range targets {
-			if t.Node != prefer {
-				others = append(others, t.Node)
-			}
-		}
-		if t, reason := b.router.Pick(now, r, targets, others); reason == dogwoodford.ReasonNone {
-			b.router.Sent(now, t.Node)
-			return t, reason
-		}
-	}
-	t, reason := b.router.Pick(now, r, targets, tried)
-	if reason == dogwoodford.ReasonNone {
-		b.router.Sent(now, t.Node)
-	}
-	return t, reason
-}
-
-func (b *Balancer) answered(node string, latency time.Duration, failed bool, load *dogwoodford.Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.router.Answered(time.Now(), node, latency, failed, load)
-}
-
-func (b *Balancer) completed(digest uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.router.Completed(digest)
-}
--- a/io/request/doghttp/doghttp_test.go
+++ b/io/request/doghttp/doghttp_test.go
@@ -18,6 +18,7 @@
 
 	"dogwoodford"
 	"dogwoodford/core/request/dogcall"
+	"dogwoodford/io/request/doggate"
 )
 
 // serveTarget starts a mesh whose targets are h.
@@ -323,20 +324,20 @@
 // that are lost when the verdict and the cancellation meet.
 func TestGateDropsRequestsWhoseCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewGate(&admission{limit: 1, c: &control{}})
+		g := doggate.NewGate(&admission{limit: 1, c: &control{}})
 		request := func(id string) dogwoodford.Request {
 			return dogwoodford.NewRequest(dogwoodford.RequestSpec{ID: id})
 		}
-		if v := g.enter(t.Context(), request("a")); v.Action() != dogwoodford.Run {
+		if v := g.Enter(t.Context(), request("a")); v.Action() != dogwoodford.Run {
 			t.Fatal("first request does not run")
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		gone := make(chan dogwoodford.Verdict)
-		go func() { gone <- g.enter(ctx, request("b")) }()
+		go func() { gone <- g.Enter(ctx, request("b")) }()
 		short, stop := context.WithTimeout(t.Context(), time.Second)
 		defer stop()
 		late := make(chan dogwoodford.Verdict)
-		go func() { late <- g.enter(short, request("c")) }()
+		go func() { late <- g.Enter(short, request("c")) }()
 		synctest.Wait()
 		if l := g.Load(); l.Queued != 2 {
 			t.Fatalf("%d queued, want 2", l.Queued)
@@ -348,7 +349,7 @@
 		if v := <-late; v.Reason() != dogwoodford.ReasonDeadline {
 			t.Errorf("deadline passed: %v", v)
 		}
-		g.leave("a", dogwoodford.Sample{})
+		g.Leave("a", dogwoodford.Sample{})
 		if l := g.Load(); l.Queued != 0 || l.InFlight != 0 {
 			t.Errorf("load %+v, want none", l)
 		}
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -18,6 +18,7 @@
 	"dogwoodford"
 	"dogwoodford/core/request/dogcall"
 	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/request/doggate"
 )
 
 const peerKey = "0123456789abcdef"
@@ -251,7 +252,7 @@
 		return New(Config{
 			Name: name, Service: service, TargetAddress: target, PeerKey: peerKey,
 			Control: c, Pressure: c, Records: c, Events: c, Peers: peers, Target: targets,
-			Suspects: c, Gate: NewGate(&admission{limit: 100, c: c}), Router: NewBalancer(router{c}),
+			Suspects: c, Gate: doggate.NewGate(&admission{limit: 100, c: c}), Router: doggate.NewBalancer(router{c}),
 		})
 	}
 	for _, name := range []string{"rounds-1", "rounds-2"} {
--- a/io/request/doghttp/guard.go
+++ b/io/request/doghttp/guard.go
@@ -120,14 +120,14 @@
 // queue waits for admission and runs the call.
 func (h *Handlers) queue(ctx context.Context, c *call, r dogwoodford.Request) *answer {
 	entered := time.Now()
-	v := h.cfg.Gate.enter(ctx, r)
+	v := h.cfg.Gate.Enter(ctx, r)
 	if v.Action() != dogwoodford.Run {
 		return refusal(dogwoodford.NotRun, v.Reason(), v.RetryAfter())
 	}
 	start := time.Now()
 	h.cfg.Counters.Guarded(dogwoodford.ReasonNone, start.Sub(entered))
 	if !r.Key().IsZero() && !h.given.give(start, r.Key()) {
-		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{Cancelled: true})
+		h.cfg.Gate.Leave(r.ID(), dogwoodford.Sample{Cancelled: true})
 		h.cfg.Events.Event(ctx, EventDuplicate, r.Root(), nil)
 		return refusal(dogwoodford.Unknown, dogwoodford.ReasonDuplicate, 0)
 	}
@@ -137,7 +137,7 @@
 	defer func() {
 		if !returned { // A panic must not keep the slot.
 			h.unregister(r.ID())
-			h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{Latency: time.Since(start), Failed: true})
+			h.cfg.Gate.Leave(r.ID(), dogwoodford.Sample{Latency: time.Since(start), Failed: true})
 		}
 	}()
 	a := h.toTarget(ctx, c, p)
@@ -150,7 +150,7 @@
 		h.unregister(r.ID())
 		now := time.Now()
 		h.cfg.Counters.Served(now.Sub(start))
-		h.cfg.Gate.leave(r.ID(), dogwoodford.Sample{
+		h.cfg.Gate.Leave(r.ID(), dogwoodford.Sample{
 			Latency:   now.Sub(start),
 			Children:  p.children.elapsed(now),
 			Failed:    e == truncated || a.status >= 500,
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -12,6 +12,7 @@
 	"dogwoodford"
 	"dogwoodford/core/request/dogcall"
 	"dogwoodford/core/request/dogretry"
+	"dogwoodford/io/request/doggate"
 )
 
 // Config is what the handlers work with. All fields are required unless the
@@ -23,8 +24,8 @@
 	PeerKey       string
 
 	Control  Control
-	Gate     *Gate
-	Router   *Balancer
+	Gate     *doggate.Gate
+	Router   *doggate.Balancer
 	Pressure Pressure
 	Records  Records
 	Suspects Suspects // Optional.
--- a/io/request/doghttp/send.go
+++ b/io/request/doghttp/send.go
@@ -12,6 +12,7 @@
 	"dogwoodford/core/connection/dogoutcome"
 	"dogwoodford/core/request/dogcall"
 	"dogwoodford/core/request/dogretry"
+	"dogwoodford/io/request/doggate"
 )
 
 // attempts sends c to one target after the other until there is an answer to
@@ -21,7 +22,7 @@
 	var tried []string
 	var last *answer
 	for n := 1; ; n++ {
-		t, reason := h.cfg.Router.pick(dogwoodford.NewRequest(c.spec), targets, tried, prefer)
+		t, reason := h.cfg.Router.Pick(dogwoodford.NewRequest(c.spec), targets, tried, prefer)
 		if reason != dogwoodford.ReasonNone {
 			if last != nil {
 				return last
@@ -30,7 +31,7 @@
 		}
 		if last != nil {
 			if !ledger.Retry() {
-				h.cfg.Router.answered(t.Node, 0, false, nil)
+				h.cfg.Router.Answered(t.Node, 0, false, nil)
 				return last
 			}
 			last.finish(aborted)
@@ -55,7 +56,7 @@
 	returned := false
 	defer func() {
 		if !returned { // A panic; the in-flight count must not stay up.
-			h.cfg.Router.answered(t.Node, time.Since(start), true, nil)
+			h.cfg.Router.Answered(t.Node, time.Since(start), true, nil)
 		}
 	}()
 	var a *answer
@@ -71,9 +72,9 @@
 		ran := a.info.Outcome == dogwoodford.Ran
 		failed := e == truncated || a.info.Outcome == dogwoodford.Unknown && ctx.Err() == nil ||
 			a.stage == dogoutcome.DialFailed || ran && a.status >= 500
-		h.cfg.Router.answered(t.Node, time.Since(start), failed, loadOf(a))
+		h.cfg.Router.Answered(t.Node, time.Since(start), failed, loadOf(a))
 		if ran && e == whole && c.spec.Digest != 0 {
-			h.cfg.Router.completed(c.spec.Digest)
+			h.cfg.Router.Completed(c.spec.Digest)
 		}
 	})
 	if r := a.info.Report; r != nil {
@@ -134,7 +135,7 @@
 	reason := dogwoodford.ReasonLost
 	switch {
 	case ctx.Err() != nil:
-		reason = reasonOf(ctx)
+		reason = doggate.ReasonOf(ctx)
 	case errors.Is(c.body.failure(), errTooLarge):
 		reason = dogwoodford.ReasonTooLarge
 	case o == dogwoodford.NotRun:
--- /dev/null
+++ b/io/request/dogrelay/call.go
@@ -0,0 +1,53 @@
+package dogrelay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/version/dogtable"
+)
+
+// call is one request on its way to a target.
+type call struct {
+	id       string // Id of the caller's attempt.
+	service  string
+	caller   string // Service beside which the request began.
+	kind     dogtable.Kind
+	priority int // 0 is the most important.
+	attempt  int // Number of the target that the request is sent to, from 1.
+	deadline time.Time
+	source   *http.Request // Method, URL, host and headers of the caller.
+	body     *body
+}
+
+// request returns the call as the decisions on admission and routing see it.
+func (c *call) request() dogwoodford.Request {
+	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
+		ID: c.id, Root: c.id, Service: c.service,
+		Importance: max(0, dogwoodford.MaxImportance-c.priority),
+		Idempotent: c.kind == dogtable.Idempotent,
+		Deadline:   c.deadline, Attempt: c.attempt, ContentSize: c.body.length,
+	})
+}
+
+// outgoing returns the request to the process at addr, with the headers of the
+// caller but those of one connection only.
+func (c *call) outgoing(ctx context.Context, addr string) *http.Request {
+	u := *c.source.URL
+	u.Scheme, u.Host = "http", addr
+	out := &http.Request{
+		Method: c.source.Method, URL: &u, Host: c.source.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: endToEnd(c.source.Header),
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil // net/http would add its own.
+	}
+	c.body.attach(out)
+	return out.WithContext(ctx)
+}
+
+// left returns the milliseconds until the deadline, at least 0.
+func (c *call) left(now time.Time) int64 { return max(0, c.deadline.Sub(now).Milliseconds()) }
--- /dev/null
+++ b/io/request/dogrelay/config.go
@@ -0,0 +1,112 @@
+package dogrelay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/request/doggate"
+)
+
+// Headers names the headers that callers and targets use, in canonical form.
+type Headers struct {
+	Attempt        string // Unique id of one attempt of a caller; targets echo it.
+	Deadline       string // Time that is left, in whole milliseconds.
+	Seal           string // Signature of a target under its answer.
+	ExpectInstance string // Id of the only target that may run the request.
+	NotExecuted    string // Present if the target did not run the request.
+	Caller         string // Service beside which the request began.
+}
+
+// Fleet is what the relay asks and tells about other nodes. Implementations
+// are safe for concurrent use.
+type Fleet interface {
+	// Targets returns the targets that may take requests.
+	Targets() []dogwoodford.Target
+	// Nodes returns the number of nodes.
+	Nodes() int
+	// Unreachable records that a connection to a node failed.
+	Unreachable(node string)
+	// Reachable records that a node answered.
+	Reachable(node string)
+	// ConfigSeen records that the node with this peer address has a version of
+	// the configuration.
+	ConfigSeen(version int64, peer string)
+}
+
+// Local is the target beside the node. Implementations are safe for concurrent
+// use.
+type Local interface {
+	// Current returns the target if it may be sent requests, or the reason why
+	// not.
+	Current() (dogtarget.Target, dogwoodford.Reason)
+	// Answered records that the target with this id answered.
+	Answered(id string)
+	// Lost records that the target with this id is not there any more.
+	Lost(id string)
+}
+
+// Budget bounds further attempts. Implementations are safe for concurrent use.
+type Budget interface {
+	// First records the first attempt of a request for a service.
+	First(service string)
+	// Allow reports whether one more attempt is within the budget.
+	Allow(service string) bool
+}
+
+// Log takes the events of requests.
+type Log interface {
+	// Event logs one event. It never blocks.
+	Event(ctx context.Context, e doglog.Event, attrs ...slog.Attr)
+}
+
+// Config lists the parts that a relay works with. All are required.
+type Config struct {
+	Headers       Headers
+	Node          string
+	Service       string // Service of the target beside the node.
+	DataCentre    string
+	Peer          string // Address at which other nodes reach this one.
+	TargetAddress string
+	Tables        *dogtable.Holder
+	Split         *dogtable.Split
+	Fleet         Fleet
+	Local         Local
+	Budget        Budget
+	Gate          *doggate.Gate
+	Router        *doggate.Balancer
+	Peers         *dogconn.Transport
+	Target        *dogconn.Transport
+	Log           Log
+	Metrics       *dogmetric.Set
+}
+
+const (
+	// answerGrace is the time after its timeout in which an answer that the
+	// target gives at its own deadline still reaches the caller. Targets stop
+	// work at the deadline that they were sent and answer then.
+	answerGrace = 120 * time.Millisecond
+	// hopGrace is the part of answerGrace that is left for the way from the
+	// guard to the entry.
+	hopGrace = 40 * time.Millisecond
+	// maxGuards is the number of guards that are asked before a request is
+	// refused. Each refusal takes a round trip.
+	maxGuards = 4
+	// maxBuffered is the size of the largest body that is kept in memory, so
+	// that it can be sent again. Longer ones are passed on as they come.
+	maxBuffered = 1 << 20
+)
+
+// Handlers carries requests. It is safe for concurrent use.
+type Handlers struct {
+	cfg Config
+}
+
+// New returns the handlers of a node.
+func New(cfg Config) *Handlers { return &Handlers{cfg: cfg} }
--- /dev/null
+++ b/io/request/dogrelay/entry.go
@@ -0,0 +1,95 @@
+package dogrelay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogmetric"
+)
+
+// Entry returns the handler for requests of callers on the own machine.
+func (h *Handlers) Entry() http.Handler { return http.HandlerFunc(h.serveEntry) }
+
+func (h *Handlers) serveEntry(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	id := r.Header.Get(h.cfg.Headers.Attempt)
+	ctx := r.Context()
+	res, c := h.enter(ctx, r, start)
+	defer res.end()
+	h.cfg.Metrics.AddTo(dogmetric.Requests, res.outcome.String(), 1)
+	if res.reason != dogwoodford.ReasonNone {
+		h.cfg.Metrics.AddTo(dogmetric.Refusals, string(res.reason), 1)
+		h.logFailed(ctx, c, id, res, start)
+	}
+	res.write(ctx, w, h.cfg.Headers.Attempt, id)
+	h.cfg.Metrics.Observe(dogmetric.EntryLatency, time.Since(start))
+}
+
+func (h *Handlers) logFailed(ctx context.Context, c *call, id string, res *result, start time.Time) {
+	attrs := attrs{idAttr(id), reasonAttr(res.reason), outcomeAttr(res.outcome), tookAttr(time.Since(start)),
+		configAttr(h.cfg.Tables.Version())}
+	if c != nil {
+		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()))
+	}
+	if res.load != nil {
+		attrs = append(attrs, loadAttr(*res.load))
+	}
+	h.cfg.Log.Event(ctx, doglog.RequestFailed, attrs...)
+}
+
+// enter finds the route of a request and sends it.
+func (h *Handlers) enter(ctx context.Context, r *http.Request, start time.Time) (*result, *call) {
+	table := h.cfg.Tables.Table()
+	if table == nil {
+		return refused(dogwoodford.ReasonNoConfig, noConfigRetry), nil
+	}
+	route, ok := table.Lookup(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return refused(dogwoodford.ReasonNoRoute, 0), nil
+	}
+	if most := table.Limits().BodyBytes; most > 0 && r.ContentLength > most {
+		return refused(dogwoodford.ReasonTooLarge, 0), nil
+	}
+	b, err := readBody(r.Body, r.ContentLength)
+	if err != nil {
+		return refused(dogwoodford.ReasonBadRequest, 0), nil
+	}
+	c := &call{
+		id: r.Header.Get(h.cfg.Headers.Attempt), service: h.cfg.Split.Choose(route), caller: h.cfg.Service,
+		kind: route.Kind(), priority: route.Priority(), source: r, body: b,
+		deadline: start.Add(h.timeout(route, r)),
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
+	h.cfg.Budget.First(c.service)
+	res := h.send(ctx, c, route)
+	finish := res.release
+	res.release = func() {
+		if finish != nil {
+			finish()
+		}
+		cancel()
+	}
+	return res, c
+}
+
+// noConfigRetry is when a caller may come back to a node without a
+// configuration. Nodes read it within this time after their start.
+const noConfigRetry = 500 * time.Millisecond
+
+// timeout returns how long the caller of r and its route wait for the answer.
+func (h *Handlers) timeout(route *dogtable.Route, r *http.Request) time.Duration {
+	d := route.Timeout()
+	text := r.Header.Get(h.cfg.Headers.Deadline)
+	if text == "" {
+		return d
+	}
+	if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms >= 0 {
+		return min(d, time.Duration(ms)*time.Millisecond)
+	}
+	return d
+}
--- /dev/null
+++ b/io/request/dogrelay/send.go
@@ -0,0 +1,153 @@
+package dogrelay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/connection/dogoutcome"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/process/doglog"
+)
+
+// leastLeft is the time that must be left for a further attempt. With less, an
+// answer in time is unlikely.
+const leastLeft = 30 * time.Millisecond
+
+// send sends a call to one target after another until one answers or no
+// further attempt is permitted.
+func (h *Handlers) send(ctx context.Context, c *call, route *dogtable.Route) *result {
+	var tried []string
+	var last *result
+	reached := 0 // Targets that the request may have reached.
+	for guards := 0; guards < maxGuards; guards++ {
+		c.attempt++
+		t, reason := h.cfg.Router.Pick(c.request(), h.cfg.Fleet.Targets(), tried, "")
+		if reason != dogwoodford.ReasonNone {
+			break
+		}
+		if last != nil {
+			last.end()
+		}
+		last = h.attempt(ctx, c, t)
+		tried = append(tried, t.Node)
+		if last.arrived {
+			reached++
+		}
+		if !h.again(ctx, c, route, last, reached) {
+			return last
+		}
+	}
+	if last == nil {
+		return refused(dogwoodford.ReasonNoTarget, noTargetRetry)
+	}
+	return last
+}
+
+// noTargetRetry is when a caller may come back if no target of the service is
+// known. A target that starts is known after about this time.
+const noTargetRetry = time.Second
+
+// again reports whether a call may be sent to one more target.
+func (h *Handlers) again(ctx context.Context, c *call, route *dogtable.Route, res *result, reached int) bool {
+	failed := res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError
+	if res.outcome == dogwoodford.Ran && !failed {
+		return false
+	}
+	if ctx.Err() != nil || time.Until(c.deadline) < leastLeft || !c.body.replayable() {
+		return false
+	}
+	if res.outcome != dogwoodford.NotRun && c.kind != dogtable.Idempotent {
+		return false
+	}
+	if !res.arrived {
+		return true // A further guard costs no target anything.
+	}
+	return reached < route.Attempts() && h.cfg.Budget.Allow(c.service)
+}
+
+// attempt sends a call to the guard of one target.
+func (h *Handlers) attempt(ctx context.Context, c *call, t dogwoodford.Target) *result {
+	start := time.Now()
+	var res *result
+	if t.Node == h.cfg.Node {
+		res = h.guard(ctx, c)
+	} else {
+		res = h.remote(ctx, c, t)
+	}
+	failed := res.outcome == dogwoodford.Unknown ||
+		res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError ||
+		res.reason == dogwoodford.ReasonTargetShed
+	if ctx.Err() == context.Canceled {
+		failed = false // The caller left; that says nothing of the target.
+	}
+	h.cfg.Router.Answered(t.Node, time.Since(start), failed, res.load)
+	return res
+}
+
+// remote sends a call to the guard on another machine.
+func (h *Handlers) remote(ctx context.Context, c *call, t dogwoodford.Target) *result {
+	out := c.outgoing(ctx, t.Peer)
+	h.formatCall(out.Header, c, time.Now())
+	resp, stage, err := h.cfg.Peers.Do(out)
+	if err != nil {
+		return h.peerFailed(ctx, c, t, stage, err)
+	}
+	if v, err := strconv.ParseInt(resp.Header.Get(headerConfig), 10, 64); err == nil {
+		h.cfg.Fleet.ConfigSeen(v, t.Peer)
+	}
+	return h.peerAnswered(ctx, c, t, resp)
+}
+
+func (h *Handlers) peerFailed(ctx context.Context, c *call, t dogwoodford.Target, stage dogoutcome.Stage, err error) *result {
+	if ctx.Err() == nil {
+		h.cfg.Fleet.Unreachable(t.Node)
+	}
+	h.cfg.Log.Event(ctx, doglog.PeerUnanswered, idAttr(c.id), nodeAttr(t.Node), stageAttr(stage), doglog.Err(err))
+	if dogoutcome.Classify(dogoutcome.Facts{Stage: stage}) == dogwoodford.NotRun {
+		return refused(dogwoodford.ReasonNoTarget, noTargetRetry)
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return lost(dogwoodford.ReasonDeadline)
+	}
+	return lost(dogwoodford.ReasonLost)
+}
+
+func (h *Handlers) peerAnswered(ctx context.Context, c *call, t dogwoodford.Target, resp *http.Response) *result {
+	a, err := dogcall.ParseAnswer(resp.Header)
+	if err != nil {
+		_ = resp.Body.Close()
+		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+		return lost(dogwoodford.ReasonBadAnswer)
+	}
+	res := &result{outcome: a.Outcome, reason: a.Reason}
+	if a.Reason == dogwoodford.ReasonNoTarget || a.Reason == dogwoodford.ReasonDraining {
+		h.cfg.Fleet.Unreachable(t.Node)
+	} else {
+		h.cfg.Fleet.Reachable(t.Node)
+	}
+	if a.Report != nil {
+		res.load = &a.Report.Load
+	}
+	if a.Outcome != dogwoodford.Ran {
+		_ = resp.Body.Close()
+		ms, err := strconv.ParseInt(resp.Header.Get(headerRetryMs), 10, 64)
+		if err == nil {
+			res.retryAfter = time.Duration(ms) * time.Millisecond
+		}
+		res.arrived = a.Outcome == dogwoodford.Unknown || a.Reason == dogwoodford.ReasonTargetShed
+		return res
+	}
+	b, err := readBody(resp.Body, resp.ContentLength)
+	if err != nil {
+		_ = resp.Body.Close()
+		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+		return lost(dogwoodford.ReasonBadAnswer)
+	}
+	res.arrived, res.status, res.header, res.body = true, resp.StatusCode, endToEnd(resp.Header), b
+	res.release = func() { _ = resp.Body.Close() }
+	return res
+}
--- a/outcome.go
+++ b/outcome.go
@@ -71,4 +71,7 @@
 	ReasonDuplicate   Reason = "duplicate"   // The key was accepted before.
 	ReasonLost        Reason = "lost"        // The connection failed after the dispatch.
 	ReasonInternal    Reason = "internal"    // A fault of the node itself.
+	ReasonTargetShed  Reason = "target-shed" // The target said that it did not run the request.
+	ReasonBadAnswer   Reason = "bad-answer"  // The answer of the target was not whole or not its own.
+	ReasonNoRoute     Reason = "no-route"    // No route matches host and path.
 )
