Let calls inherit the importance of their root, and refuse early by pressure

Ruled out: a wrong route lookup (the table in force was the old one); a stale read (List asks for none).

Change: a call whose id extends that of a request in progress beside the node takes over its root, priority and depth. A 500 that follows from a failed call is not sent again above; calls of repeated requests count in the budget; one level may use a quarter of it. Guards report cutoffs beneath them, and entries refuse requests of callers below these. The watch of the configuration returns each 1.5 s, and its revisions show when the other watch missed changes. One header each way between nodes.

--- a/core/process/dogbudget/budget.go
+++ b/core/process/dogbudget/budget.go
@@ -6,15 +6,10 @@
 // counts whole, so that the count covers a little more than the window.
 const buckets = 10
 
-const (
-	// ownShare is the part of the ratio that further attempts of this service
-	// may use. The rest is for calls of parents that run again, which count as
-	// further attempts at the services that they call.
-	ownShare = 0.5
-	// slackShare is the part of the constant that is given out, for the same
-	// reason.
-	slackShare = 0.5
-)
+// ownShare is the part of the budget that one level of a call tree may use.
+// The calls of a request that runs again count as further attempts at all
+// services beneath it, and trees are four levels deep.
+const ownShare = 0.25
 
 // Options are the settings of a Budget. All are required.
 type Options struct {
@@ -42,6 +37,9 @@
 // First records the first attempt of a request.
 func (b *Budget) First(now time.Time, service string) { b.window(now, service).first[0]++ }
 
+// Repeat records a further attempt that follows from one at another service.
+func (b *Budget) Repeat(now time.Time, service string) { b.window(now, service).repeat[0]++ }
+
 // Allow reports whether one more attempt is within this node's share among
 // the given number of nodes, and records it if so.
 func (b *Budget) Allow(now time.Time, service string, nodes int) bool {
@@ -51,7 +49,7 @@
 		first += w.first[i]
 		repeat += w.repeat[i]
 	}
-	allowed := ownShare*b.opts.Ratio*float64(first) + slackShare*b.opts.Slack/float64(max(1, nodes))
+	allowed := ownShare * (b.opts.Ratio*float64(first) + b.opts.Slack/float64(max(1, nodes)))
 	if float64(repeat+1) > allowed {
 		return false
 	}
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -54,7 +54,7 @@
 		}
 	}
 	return &kindWatch{
-		kind: kind, store: store, log: c.log,
+		kind: kind, wait: configWait, store: store, log: c.log,
 		listed: func(objects []dogwoodford.Object) {
 			for _, o := range objects {
 				take(o)
--- /dev/null
+++ b/io/process/dogsidecar/pressure.go
@@ -0,0 +1,37 @@
+package dogsidecar
+
+import (
+	"sync"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogpressure"
+)
+
+// pressure is a dogpressure.Table with a lock around it. It implements
+// dogrelay.Pressure.
+type pressure struct {
+	mu    sync.Mutex
+	table *dogpressure.Table
+}
+
+// Admit implements dogrelay.Pressure.
+func (p *pressure) Admit(r dogwoodford.Request) dogwoodford.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Admit(time.Now(), r)
+}
+
+// Reported implements dogrelay.Pressure.
+func (p *pressure) Reported(r dogwoodford.Request, node string, own, below dogwoodford.Priority) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Reported(time.Now(), r, node, dogpressure.Report{Own: own, Below: below})
+}
+
+// Upstream implements dogrelay.Pressure.
+func (p *pressure) Upstream(r dogwoodford.Request, own dogwoodford.Priority) dogwoodford.Priority {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Upstream(time.Now(), r, own).Below
+}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -16,6 +16,7 @@
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/core/process/dogpressure"
 	"dogwoodford/core/request/dogroute"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
@@ -139,6 +140,7 @@
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Inbound, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: n.gate,
+		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand()})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(),
 		})),
@@ -222,8 +224,10 @@
 		EventHook: func(e suture.Event) { n.log.event(doglog.ServiceRestarted, slog.String("event", e.String())) },
 		Timeout:   partTimeout,
 	})
-	sup.Add(n.configs.watch(n.store))
-	sup.Add(n.state.watchEntries(n.store))
+	config, entries := n.configs.watch(n.store), n.state.watchEntries(n.store)
+	config.seen = entries.check
+	sup.Add(config)
+	sup.Add(entries)
 	sup.Add(n.announce)
 	sup.Add(part{name: "probe", run: n.peers.probe})
 	sup.Add(part{name: "follow", run: n.peers.follow})
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -186,6 +186,13 @@
 	s.budget.First(time.Now(), service)
 }
 
+// Repeat implements dogrelay.Budget.
+func (s *state) Repeat(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Repeat(time.Now(), service)
+}
+
 // Allow implements dogrelay.Budget.
 func (s *state) Allow(service string) bool {
 	s.mu.Lock()
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,10 +13,13 @@
 )
 
 const (
-	// watchWait is the time after which a watch without a change returns. A
-	// longer wait saves calls; a silent connection is noticed by its
-	// keep-alive probes long before.
-	watchWait = 20 * time.Second
+	// configWait is the time after which a watch of the configuration without
+	// a change returns. A watch that lost its changes in the store never
+	// answers, and a configuration must be in force within two seconds.
+	configWait = 1500 * time.Millisecond
+	// entriesWait is the same for the entries of nodes. A longer wait saves
+	// calls; the answers of the other watch show that changes were missed.
+	entriesWait = 20 * time.Second
 	// listTimeout bounds a list, which answers in milliseconds.
 	listTimeout = 1500 * time.Millisecond
 	// watchRetry is the pause after a failed call. It doubles up to
@@ -28,14 +32,22 @@
 // kindWatch follows the objects of one kind.
 type kindWatch struct {
 	kind  string
+	wait  time.Duration
 	store dogwoodford.Store
 	log   *logger
 	// listed takes all objects, changed one change.
 	listed  func([]dogwoodford.Object)
 	changed func(dogwoodford.Change)
+	// seen, if set, takes the revision of the store after each answer without
+	// a change.
+	seen func(revision int64)
 
-	lost  bool         // The store did not answer the last call.
-	after atomic.Int64 // Revision from which the watch goes on.
+	mu      sync.Mutex
+	restart context.CancelFunc // Ends the present watch; nil outside of one.
+	lost    bool               // The store did not answer the last call.
+	after   atomic.Int64       // Revision from which the watch goes on.
+
+	checked int64 // Last revision for which the watch was ended.
 }
 
 // Serve implements suture.Service.
@@ -70,8 +82,15 @@
 	w.answered(pause)
 	w.after.Store(revision)
 	w.listed(objects)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	w.setRestart(stop)
+	defer w.setRestart(nil)
 	for ctx.Err() == nil {
-		changes, next, err := w.store.Watch(ctx, w.kind, w.after.Load(), watchWait)
+		changes, next, err := w.store.Watch(ctx, w.kind, w.after.Load(), w.wait)
+		if err != nil && ctx.Err() != nil {
+			return nil // Ended by check.
+		}
 		if err != nil {
 			return err
 		}
@@ -80,10 +99,33 @@
 			w.changed(c)
 		}
 		w.after.Store(next)
+		if len(changes) == 0 && w.seen != nil {
+			w.seen(next)
+		}
 	}
 	return nil
 }
 
+func (w *kindWatch) setRestart(stop context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restart = stop
+}
+
+// check ends the present watch if the store has changed since its last answer
+// and still no change has come, so that the objects are listed again.
+func (w *kindWatch) check(revision int64) {
+	if revision <= w.after.Load() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.restart != nil && w.checked < revision {
+		w.checked = revision
+		w.restart()
+	}
+}
+
 func (w *kindWatch) answered(pause *time.Duration) {
 	*pause = watchRetry
 	if w.lost {
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -15,7 +15,7 @@
 	service  string
 	caller   string // Service beside which the request began.
 	kind     dogtable.Kind
-	priority int // 0 is the most important.
+	lineage  lineage
 	attempt  int // Number of the target that the request is sent to, from 1.
 	deadline time.Time
 	source   *http.Request // Method, URL, host and headers of the caller.
@@ -25,8 +25,8 @@
 // request returns the call as the decisions on admission and routing see it.
 func (c *call) request() dogwoodford.Request {
 	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
-		ID: c.id, Root: c.id, Service: c.service,
-		Importance: max(0, dogwoodford.MaxImportance-c.priority),
+		ID: c.id, Root: c.lineage.root, Service: c.service, Class: c.lineage.class, Hop: c.lineage.hop,
+		Importance: max(0, dogwoodford.MaxImportance-c.lineage.priority),
 		Idempotent: c.kind == dogtable.Idempotent,
 		Deadline:   c.deadline, Attempt: c.attempt, ContentSize: c.body.length,
 	})
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -56,10 +56,24 @@
 type Budget interface {
 	// First records the first attempt of a request for a service.
 	First(service string)
+	// Repeat records the first attempt of a call of a request that runs again.
+	// It counts as a further attempt at the service that is called.
+	Repeat(service string)
 	// Allow reports whether one more attempt is within the budget.
 	Allow(service string) bool
 }
 
+// Pressure keeps what guards report of how full their targets are. It is safe
+// for concurrent use.
+type Pressure interface {
+	// Admit decides whether to send a request, as far as reports say.
+	Admit(r dogwoodford.Request) dogwoodford.Verdict
+	// Reported records what the guard of a node answered to r.
+	Reported(r dogwoodford.Request, node string, own, below dogwoodford.Priority)
+	// Upstream returns the highest cutoff beneath the own target.
+	Upstream(r dogwoodford.Request, own dogwoodford.Priority) dogwoodford.Priority
+}
+
 // Log takes the events of requests.
 type Log interface {
 	// Event logs one event. It never blocks.
@@ -79,6 +93,7 @@
 	Fleet         Fleet
 	Local         Local
 	Budget        Budget
+	Pressure      Pressure
 	Gate          *doggate.Gate
 	Router        *doggate.Balancer
 	Peers         *dogconn.Transport
@@ -105,8 +120,9 @@
 
 // Handlers carries requests. It is safe for concurrent use.
 type Handlers struct {
-	cfg Config
+	cfg     Config
+	running *registry
 }
 
 // New returns the handlers of a node.
-func New(cfg Config) *Handlers { return &Handlers{cfg: cfg} }
+func New(cfg Config) *Handlers { return &Handlers{cfg: cfg, running: newRegistry()} }
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -61,12 +61,12 @@
 	}
 	c := &call{
 		id: r.Header.Get(h.cfg.Headers.Attempt), service: h.cfg.Split.Choose(route), caller: h.cfg.Service,
-		kind: route.Kind(), priority: route.Priority(), source: r, body: b,
-		deadline: start.Add(h.timeout(route, r)),
+		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
+	parent := h.running.parent(c.id)
+	c.lineage = lineageOf(c, route, parent)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
-	h.cfg.Budget.First(c.service)
-	res := h.send(ctx, c, route)
+	res := h.call(ctx, c, route, parent)
 	finish := res.release
 	res.release = func() {
 		if finish != nil {
@@ -77,6 +77,40 @@
 	return res, c
 }
 
+// lineageOf returns the lineage of a call of parent, or of a request of a
+// caller if parent is nil.
+func lineageOf(c *call, route *dogtable.Route, parent *run) lineage {
+	if parent == nil {
+		return lineage{root: c.id, class: route.Name(), priority: route.Priority()}
+	}
+	l := parent.lineage
+	l.hop++
+	return l
+}
+
+// call sends a call. Only requests of callers are refused for pressure further
+// down: with a call, the work done for it above would be lost.
+func (h *Handlers) call(ctx context.Context, c *call, route *dogtable.Route, parent *run) *result {
+	v := h.cfg.Pressure.Admit(c.request())
+	if parent == nil {
+		if v.Action() == dogwoodford.Refuse {
+			return refused(v.Reason(), v.RetryAfter())
+		}
+		h.cfg.Budget.First(c.service)
+		return h.send(ctx, c, route)
+	}
+	if c.lineage.repeated {
+		h.cfg.Budget.Repeat(c.service)
+	} else {
+		h.cfg.Budget.First(c.service)
+	}
+	parent.begin(time.Now())
+	res := h.send(ctx, c, route)
+	failed := res.outcome != dogwoodford.Ran || res.status >= http.StatusInternalServerError
+	parent.end(time.Now(), failed)
+	return res
+}
+
 // noConfigRetry is when a caller may come back to a node without a
 // configuration. Nodes read it within this time after their start.
 const noConfigRetry = 500 * time.Millisecond
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -38,6 +38,7 @@
 	res := h.admit(ctx, c)
 	load := h.cfg.Gate.Load()
 	res.load = &load
+	res.below = h.cfg.Pressure.Upstream(c.request(), load.Cutoff)
 	if res.outcome != dogwoodford.Ran {
 		h.cfg.Metrics.AddTo(dogmetric.GuardRefusals, string(res.reason), 1)
 		h.cfg.Log.Event(ctx, doglog.GuardRefused, idAttr(c.id), reasonAttr(res.reason), outcomeAttr(res.outcome),
@@ -64,6 +65,7 @@
 	}
 	start := time.Now()
 	h.cfg.Metrics.Observe(dogmetric.QueueDelay, start.Sub(entered))
+	running := h.running.add(c)
 	res := h.dispatch(ctx, c)
 	finish := res.release
 	res.release = func() {
@@ -72,11 +74,14 @@
 		}
 		cancelled := ctx.Err() != nil
 		cancel()
+		h.running.remove(c.id, running)
+		children, _ := running.children(time.Now())
 		h.cfg.Gate.Leave(r.ID(), dogwoodford.Sample{
-			Latency: time.Since(start), Cancelled: cancelled || res.outcome == dogwoodford.NotRun,
+			Latency: time.Since(start), Children: children, Cancelled: cancelled || res.outcome == dogwoodford.NotRun,
 			Failed: res.outcome == dogwoodford.Unknown || res.status >= http.StatusInternalServerError,
 		})
 	}
+	_, res.childFailed = running.children(time.Now())
 	if res.body == nil || res.body.rest == nil {
 		res.end()
 	}
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -17,6 +17,10 @@
 	retryAfter time.Duration
 	arrived    bool // The request may have reached a target.
 	load       *dogwoodford.Load
+	// below is the highest cutoff of the services that requests of this class
+	// call beneath the one that answers.
+	below       dogwoodford.Priority
+	childFailed bool // A call that the target made for the request failed.
 
 	// The answer of the target, if outcome is Ran.
 	status  int
@@ -113,14 +117,8 @@
 // writePeer sends r to the entry.
 func (r *result) writePeer(w http.ResponseWriter, version int64) {
 	out := w.Header()
-	a := dogcall.Answer{Outcome: r.outcome, Reason: r.reason, RetriesUsed: -1}
-	if r.load != nil {
-		a.Report = &dogcall.Report{Load: *r.load}
-	}
-	a.FormatPeer(out)
-	out[headerConfig] = []string{strconv.FormatInt(version, 10)}
+	formatAnswer(out, r, version)
 	if r.outcome != dogwoodford.Ran {
-		out[headerRetryMs] = []string{strconv.FormatInt(r.retryAfter.Milliseconds(), 10)}
 		out["Content-Length"] = []string{"0"}
 		// The status carries no meaning between nodes; the outcome does.
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"dogwoodford"
 	"dogwoodford/core/connection/dogoutcome"
-	"dogwoodford/core/request/dogcall"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/process/doglog"
 )
@@ -53,8 +51,8 @@
 
 // again reports whether a call may be sent to one more target.
 func (h *Handlers) again(ctx context.Context, c *call, route *dogtable.Route, res *result, reached int) bool {
-	failed := res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError
-	if res.outcome == dogwoodford.Ran && !failed {
+	if res.outcome == dogwoodford.Ran && (res.status < http.StatusInternalServerError || res.childFailed) {
+		// What failed further down was tried again there, as far as it may be.
 		return false
 	}
 	if ctx.Err() != nil || time.Until(c.deadline) < leastLeft || !c.body.replayable() {
@@ -75,11 +73,12 @@
 	var res *result
 	if t.Node == h.cfg.Node {
 		res = h.guard(ctx, c)
+		h.cfg.Pressure.Reported(c.request(), t.Node, res.load.Cutoff, res.below)
 	} else {
 		res = h.remote(ctx, c, t)
 	}
 	failed := res.outcome == dogwoodford.Unknown ||
-		res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError ||
+		res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError && !res.childFailed ||
 		res.reason == dogwoodford.ReasonTargetShed
 	if ctx.Err() == context.Canceled {
 		failed = false // The caller left; that says nothing of the target.
@@ -96,9 +95,6 @@
 	if err != nil {
 		return h.peerFailed(ctx, c, t, stage, err)
 	}
-	if v, err := strconv.ParseInt(resp.Header.Get(headerConfig), 10, 64); err == nil {
-		h.cfg.Fleet.ConfigSeen(v, t.Peer)
-	}
 	return h.peerAnswered(ctx, c, t, resp)
 }
 
@@ -117,28 +113,22 @@
 }
 
 func (h *Handlers) peerAnswered(ctx context.Context, c *call, t dogwoodford.Target, resp *http.Response) *result {
-	a, err := dogcall.ParseAnswer(resp.Header)
+	res, version, err := parseAnswer(resp.Header)
 	if err != nil {
 		_ = resp.Body.Close()
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
 		return lost(dogwoodford.ReasonBadAnswer)
 	}
-	res := &result{outcome: a.Outcome, reason: a.Reason}
-	if a.Reason == dogwoodford.ReasonNoTarget || a.Reason == dogwoodford.ReasonDraining {
+	h.cfg.Fleet.ConfigSeen(version, t.Peer)
+	h.cfg.Pressure.Reported(c.request(), t.Node, res.load.Cutoff, res.below)
+	if res.reason == dogwoodford.ReasonNoTarget || res.reason == dogwoodford.ReasonDraining {
 		h.cfg.Fleet.Unreachable(t.Node)
 	} else {
 		h.cfg.Fleet.Reachable(t.Node)
 	}
-	if a.Report != nil {
-		res.load = &a.Report.Load
-	}
-	if a.Outcome != dogwoodford.Ran {
+	if res.outcome != dogwoodford.Ran {
 		_ = resp.Body.Close()
-		ms, err := strconv.ParseInt(resp.Header.Get(headerRetryMs), 10, 64)
-		if err == nil {
-			res.retryAfter = time.Duration(ms) * time.Millisecond
-		}
-		res.arrived = a.Outcome == dogwoodford.Unknown || a.Reason == dogwoodford.ReasonTargetShed
+		res.arrived = res.outcome == dogwoodford.Unknown || res.reason == dogwoodford.ReasonTargetShed
 		return res
 	}
 	b, err := readBody(resp.Body, resp.ContentLength)
