Test the new packages with scripts and a stand-in of the store

Guards against failures seen or feared on the platform: requests that run twice, refusals that are not true, answers that are not whole, late heartbeats, a watch that the store has lost, retry shares that add up to more than the budget. No behaviour changes.

--- /dev/null
+++ b/core/process/dogfleet/fleet_test.go
@@ -0,0 +1,115 @@
+package dogfleet
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+
+	"dogwoodford"
+)
+
+// TestScripts runs the scripts in testdata. They guard against requests that
+// go to nodes that are gone, and against entries of gone nodes that stay for
+// ever. After "->" stand the targets, the nodes to probe and those to remove.
+func TestScripts(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/fleet.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range ar.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			f := New()
+			var got strings.Builder
+			for line := range strings.Lines(string(file.Data)) {
+				event, _, _ := strings.Cut(line, "->")
+				fmt.Fprintf(&got, "%s-> %s\n", event, step(t, f, strings.Fields(event)))
+			}
+			if diff := cmp.Diff(string(file.Data), got.String()); diff != "" {
+				t.Errorf("mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+var states = map[string]dogwoodford.State{
+	"ready": dogwoodford.Ready, "draining": dogwoodford.Draining, "left": dogwoodford.Left,
+}
+
+func step(t *testing.T, f *Fleet, w []string) string {
+	t.Helper()
+	at, err := time.ParseDuration(w[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0).Add(at)
+	number := func(s string) int64 {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	switch w[1] {
+	case "put": // Node, service, state, version.
+		f.Put(now, Entry{Node: w[2], Service: w[3], State: states[w[4]], Peer: w[2]}, number(w[5]))
+	case "remove":
+		f.Remove(w[2], number(w[3]))
+	case "keep":
+		f.Keep(w[2:])
+	case "unreachable":
+		f.Unreachable(now, w[2])
+	case "reachable":
+		f.Reachable(w[2])
+	case "wait":
+	default:
+		t.Fatalf("unknown event %q", w[1])
+	}
+	return show(f, now)
+}
+
+func show(f *Fleet, now time.Time) string {
+	var targets, probes, stale []string
+	for _, x := range f.Targets() {
+		targets = append(targets, x.Node)
+	}
+	for _, e := range f.Probes(now) {
+		probes = append(probes, e.Node)
+	}
+	for name := range f.Stale(now) {
+		stale = append(stale, name)
+	}
+	out := ""
+	for _, list := range []struct {
+		name  string
+		nodes []string
+	}{{"targets", targets}, {"probe", probes}, {"remove", stale}} {
+		slices.Sort(list.nodes)
+		if len(list.nodes) > 0 {
+			out += " " + list.name + "=" + strings.Join(list.nodes, ",")
+		}
+	}
+	return strings.TrimSpace(out + " end")
+}
+
+func BenchmarkTargets(b *testing.B) {
+	for _, n := range []int{13, 89, 590} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			f := New()
+			now := time.Unix(0, 0)
+			for i := range n {
+				f.Put(now, Entry{Node: fmt.Sprint(i), Service: fmt.Sprint(i % 29), State: dogwoodford.Ready}, 1)
+			}
+			for b.Loop() {
+				f.Unreachable(now, "1")
+				f.Reachable("1")
+				f.Targets()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/process/dogtarget/watch_test.go
@@ -0,0 +1,90 @@
+package dogtarget
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+)
+
+// TestScripts runs the scripts in testdata. Each guards against requests that
+// reach a target that is leaving, gone or another one. A line is the time, an
+// event, "->" and the state after it.
+func TestScripts(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/target.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range ar.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			w := New(Options{Service: "rounds", Address: "10.0.0.1:80", Silence: 4500 * time.Millisecond})
+			var got strings.Builder
+			for line := range strings.Lines(string(f.Data)) {
+				event, _, _ := strings.Cut(line, "->")
+				fmt.Fprintf(&got, "%s-> %s\n", event, step(t, w, strings.Fields(event)))
+			}
+			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+				t.Errorf("mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// step applies one event and returns its effect, if any, and the state.
+func step(t *testing.T, w *Watch, f []string) string {
+	t.Helper()
+	at, err := time.ParseDuration(f[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0).Add(at)
+	effect := ""
+	switch f[1] {
+	case "beat":
+		effect = w.Observe(now, report(t, f[2:])).String() + " "
+	case "leave":
+		w.Leave(f[2])
+	case "lost":
+		w.Lost(f[2])
+	case "answered":
+		w.Answered(now, f[2])
+	case "wait":
+	default:
+		t.Fatalf("unknown event %q", f[1])
+	}
+	state := w.State(now).String()
+	if c, ok := w.Current(now); ok {
+		state += " " + c.ID
+	}
+	return effect + state
+}
+
+func report(t *testing.T, f []string) Report {
+	r := Report{ID: f[0], Service: "rounds", Address: "10.0.0.1:80", Slots: 4}
+	for _, field := range f[1:] {
+		k, v, _ := strings.Cut(field, "=")
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil && (k == "born" || k == "seq" || k == "slots") {
+			t.Fatal(err)
+		}
+		switch k {
+		case "born":
+			r.Born = n
+		case "seq":
+			r.Sequence = n
+		case "slots":
+			r.Slots = int(n)
+		case "service":
+			r.Service = v
+		case "address":
+			r.Address = v
+		case "draining":
+			r.Draining = true
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/io/request/dogrelay/fake_test.go
@@ -0,0 +1,266 @@
+package dogrelay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/request/doggate"
+)
+
+var names = Headers{
+	Attempt: "X-Attempt", Deadline: "X-Left", Seal: "X-Seal", ExpectInstance: "X-Expect",
+	NotExecuted: "X-Not-Run", Caller: "X-Caller",
+}
+
+// fakeTarget answers each request as its script says.
+type fakeTarget struct {
+	addr   string
+	ln     net.Listener
+	script string
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func newTarget(t *testing.T, script string) *fakeTarget {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeTarget{addr: ln.Addr().String(), ln: ln, script: script}
+	if script == "refuse" {
+		ln.Close()
+		return f
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.accept()
+	return f
+}
+
+func (f *fakeTarget) accept() {
+	for {
+		c, err := f.ln.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(c)
+	}
+}
+
+func (f *fakeTarget) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.requests, f.bodies = append(f.requests, r), append(f.bodies, string(data))
+		f.mu.Unlock()
+		if !f.answer(c, r.Header.Get(names.Attempt)) {
+			return
+		}
+	}
+}
+
+// answer writes the scripted answer and reports whether the connection stays
+// open.
+func (f *fakeTarget) answer(c net.Conn, id string) bool {
+	head := func(status, id, more string) {
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s", status, names.Attempt, id, more)
+	}
+	const seal = "X-Seal: s\r\n"
+	const whole = "Content-Length: 4\r\n\r\nbody"
+	switch f.script {
+	case "ok":
+		head("200 OK", id, seal+whole)
+	case "unframed":
+		head("200 OK", id, seal+"\r\nbody")
+		return false
+	case "extra":
+		head("200 OK", id, seal+whole+"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n")
+	case "500":
+		head("500 Internal Server Error", id, seal+whole)
+	case "shed":
+		head("503 Service Unavailable", id, "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	case "other":
+		head("421 Misdirected Request", id, "Content-Length: 0\r\n\r\n")
+	case "truncate":
+		head("200 OK", id, seal+"Content-Length: 9\r\n\r\nbody")
+		return false
+	case "wrong-id":
+		head("200 OK", "other", seal+whole)
+	case "no-seal":
+		head("200 OK", id, whole)
+	case "garbage":
+		fmt.Fprint(c, "not an answer\r\n\r\n")
+		return false
+	case "reset":
+		return false
+	case "hang":
+		time.Sleep(2 * time.Second)
+		return false
+	}
+	return true
+}
+
+func (f *fakeTarget) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests)
+}
+
+// world is what a node under test sees; it implements all its interfaces.
+type world struct {
+	mu      sync.Mutex
+	targets []dogwoodford.Target
+	reason  dogwoodford.Reason // Of the local target.
+	budget  int
+	refuse  bool // By pressure.
+	repeats int
+	lost    []string
+	gone    []string // Unreachable nodes.
+}
+
+func (w *world) Targets() []dogwoodford.Target { return w.targets }
+func (w *world) Nodes() int                    { return len(w.targets) }
+func (w *world) Reachable(string)              {}
+func (w *world) ConfigSeen(int64, string)      {}
+func (w *world) Answered(string)               {}
+func (w *world) First(string)                  {}
+
+func (w *world) Unreachable(node string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone = append(w.gone, node)
+}
+
+func (w *world) Current() (dogtarget.Target, dogwoodford.Reason) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return dogtarget.Target{ID: "i-1", Slots: 4}, w.reason
+}
+
+func (w *world) Lost(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost, w.reason = append(w.lost, id), dogwoodford.ReasonNoTarget
+}
+
+func (w *world) Repeat(string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats++
+}
+
+func (w *world) Allow(string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.budget--
+	return w.budget >= 0
+}
+
+func (w *world) Admit(r dogwoodford.Request) dogwoodford.Verdict {
+	if w.refuse {
+		return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, time.Second)
+	}
+	return dogwoodford.RunVerdict()
+}
+
+func (w *world) Reported(dogwoodford.Request, string, dogwoodford.Priority, dogwoodford.Priority) {}
+
+func (w *world) Upstream(dogwoodford.Request, dogwoodford.Priority) dogwoodford.Priority { return 0 }
+
+func (w *world) Event(context.Context, doglog.Event, ...slog.Attr) {}
+
+// inOrder is a router that takes targets in the order of the list.
+type inOrder struct{}
+
+func (inOrder) Pick(_ time.Time, r dogwoodford.Request, targets []dogwoodford.Target, tried []string) (dogwoodford.Target, dogwoodford.Reason) {
+	for _, t := range targets {
+		if t.Service == r.Service() && !slices.Contains(tried, t.Node) {
+			return t, dogwoodford.ReasonNone
+		}
+	}
+	return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
+}
+func (inOrder) Sent(time.Time, string)                                             {}
+func (inOrder) Answered(time.Time, string, time.Duration, bool, *dogwoodford.Load) {}
+func (inOrder) Completed(uint64)                                                   {}
+
+// testNode is one node with its listeners.
+type testNode struct {
+	*world
+	relay  *Handlers
+	target *fakeTarget
+	entry  *httptest.Server
+	guard  *httptest.Server
+}
+
+// table has one route for each kind, named by it, to the service "rounds".
+func table(t *testing.T, timeout time.Duration) *dogtable.Table {
+	var routes []dogtable.RouteSpec
+	for _, k := range []dogtable.Kind{dogtable.Idempotent, dogtable.NonIdempotent, dogtable.Upload} {
+		routes = append(routes, dogtable.RouteSpec{
+			Name: k.String(), Host: "h", Prefix: "/" + k.String() + "/", Kind: k, Timeout: timeout, Attempts: 2,
+			Priority: 3, Backends: []dogtable.Backend{{Service: "rounds", Weight: 1}},
+		})
+	}
+	tb, err := dogtable.New(dogtable.Spec{Version: 1, Routes: routes, Services: []dogtable.Service{{Name: "rounds"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tb
+}
+
+func newTestNode(t *testing.T, name, service, script string, timeout time.Duration) *testNode {
+	n := &testNode{world: &world{budget: 100}, target: newTarget(t, script)}
+	var tables dogtable.Holder
+	tables.Offer(table(t, timeout))
+	rnd := rand.New(rand.NewPCG(1, 2))
+	n.relay = New(Config{
+		Headers: names, Node: name, Service: service, DataCentre: "dc", Peer: "127.0.0.1:1",
+		TargetAddress: n.target.addr, Tables: &tables, Split: dogtable.NewSplit(), Fleet: n, Local: n, Budget: n,
+		Pressure: n, Gate: doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 4, Rand: rnd})),
+		Router: doggate.NewBalancer(inOrder{}), Peers: dogconn.NewPeer(dogconn.Options{}),
+		Target: dogconn.NewTarget(dogconn.Options{}), Log: n, Metrics: dogmetric.NewSet(),
+	})
+	n.entry, n.guard = httptest.NewServer(n.relay.Entry()), httptest.NewServer(n.relay.Guard())
+	t.Cleanup(n.entry.Close)
+	t.Cleanup(n.guard.Close)
+	return n
+}
+
+// knows makes n see the guards of others.
+func (n *testNode) knows(others ...*testNode) {
+	for i, o := range others {
+		n.targets = append(n.targets, dogwoodford.Target{
+			Node: fmt.Sprint("node-", i), Service: "rounds", Peer: o.guard.Listener.Addr().String(),
+			State: dogwoodford.Ready,
+		})
+	}
+}
--- /dev/null
+++ b/io/request/dogrelay/relay_test.go
@@ -0,0 +1,206 @@
+package dogrelay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+
+	"dogwoodford"
+	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/version/dogtable"
+)
+
+func ask(t *testing.T, n *testNode, kind, id, body string) (int, http.Header, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), "POST", n.entry.URL+"/"+kind+"/x?q=1", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(names.Attempt, id)
+	req.Header.Set(names.Caller, "forged")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(data), err
+}
+
+// TestOutcomes guards against requests that run twice, refusals that are not
+// true and answers that are not whole. Each case of testdata/outcomes.txtar
+// has the kind of the request, what the targets of the nodes do, the answer,
+// and how often each target was reached.
+func TestOutcomes(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/outcomes.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range ar.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			t.Parallel()
+			var got strings.Builder
+			for line := range strings.Lines(string(f.Data)) {
+				w := strings.Fields(line)
+				kind, scripts := w[0], strings.Split(w[1], ",")
+				fmt.Fprintf(&got, "%s %s -> %s\n", kind, w[1], outcome(t, kind, scripts))
+			}
+			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+				t.Errorf("mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func outcome(t *testing.T, kind string, scripts []string) string {
+	const timeout = 600 * time.Millisecond
+	entry := newTestNode(t, "entry", "billing", "refuse", timeout)
+	var guards []*testNode
+	for _, s := range scripts {
+		g := newTestNode(t, "guard", "rounds", s, timeout)
+		if s == "draining" {
+			g.reason = dogwoodford.ReasonDraining
+		}
+		guards = append(guards, g)
+	}
+	entry.knows(guards...)
+	status, h, body, err := ask(t, entry, kind, "a1", "payload")
+	if err != nil {
+		return "error"
+	}
+	var reached []string
+	for _, g := range guards {
+		reached = append(reached, fmt.Sprint(g.target.count()))
+	}
+	out := fmt.Sprintf("%d %s", status, strings.Join(reached, ","))
+	if r := h.Get(dogcall.HeaderReason); r != "" {
+		out += " " + r
+	}
+	if status == http.StatusOK && body != "body" {
+		out += " body " + body
+	}
+	if status == http.StatusServiceUnavailable && h.Get("Retry-After") == "" {
+		out += " without Retry-After"
+	}
+	return out
+}
+
+// TestPassedOn guards against requests that a target sees changed, with the
+// caller's word for its service, or without the expected instance.
+func TestPassedOn(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
+	entry.knows(guard)
+	if status, _, _, err := ask(t, entry, "upload", "a1", "payload"); err != nil || status != http.StatusOK {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	r := guard.target.requests[0]
+	got := []string{r.Method, r.Host, r.RequestURI, guard.target.bodies[0], r.Header.Get(names.Attempt),
+		r.Header.Get(names.Caller), r.Header.Get(names.ExpectInstance)}
+	if diff := cmp.Diff([]string{"POST", "h", "/upload/x?q=1", "payload", "a1", "billing", "i-1"}, got); diff != "" {
+		t.Errorf("request at the target (-want +got):\n%s", diff)
+	}
+	for name := range r.Header {
+		if dogcall.IsOwn(name) {
+			t.Errorf("the target sees the header %s", name)
+		}
+	}
+}
+
+// TestCalls guards against calls that lose the importance of the request that
+// they belong to, and against refusing them for pressure after the work above
+// them was done.
+func TestCalls(t *testing.T) {
+	n := newTestNode(t, "node", "rounds", "ok", time.Second)
+	n.refuse = true
+	n.targets = []dogwoodford.Target{{Node: "node", Service: "rounds", State: dogwoodford.Ready}}
+	parent := &call{id: "a1", attempt: 2, lineage: lineage{root: "a1", class: "sheet", priority: 0}}
+	n.relay.running.add(parent)
+	if status, _, _, err := ask(t, n, "idempotent", "b1", ""); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("request of a caller: status %d, error %v; want 503", status, err)
+	}
+	if status, _, _, err := ask(t, n, "idempotent", "a1.c1", ""); err != nil || status != http.StatusOK {
+		t.Errorf("call: status %d, error %v; want 200", status, err)
+	}
+	if n.repeats != 1 {
+		t.Errorf("%d repeats counted, want 1", n.repeats)
+	}
+	c := &call{id: "a1.c1"}
+	route, _ := table(t, time.Second).Lookup("h", "/idempotent/x")
+	want := lineage{root: "a1", class: "sheet", priority: 0, hop: 1, repeated: true}
+	got := lineageOf(c, route, n.relay.running.parent(c.id))
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(lineage{})); diff != "" {
+		t.Errorf("lineage of the call (-want +got):\n%s", diff)
+	}
+}
+
+// TestGuardOfAnotherService guards against requests that run at a service that
+// took over the address of a node.
+func TestGuardOfAnotherService(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	other := newTestNode(t, "guard", "depot", "ok", time.Second)
+	entry.knows(other)
+	status, _, _, err := ask(t, entry, "idempotent", "a1", "")
+	if err != nil || status != http.StatusServiceUnavailable || other.target.count() != 0 {
+		t.Errorf("status %d, error %v, %d requests at the other service", status, err, other.target.count())
+	}
+}
+
+// TestHeaderRoundTrip guards against fields that change places between nodes.
+func TestHeaderRoundTrip(t *testing.T) {
+	n := newTestNode(t, "node", "rounds", "ok", time.Second)
+	now := time.Now()
+	c := &call{
+		id: "a1.b2", service: "rounds", caller: "billing", kind: dogtable.Upload, attempt: 2,
+		deadline: now.Add(300 * time.Millisecond),
+		lineage:  lineage{root: "a1", class: "sheet", priority: 5, hop: 1, repeated: true},
+	}
+	r, err := http.NewRequest("GET", "http://h/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(names.Attempt, c.id)
+	n.relay.formatCall(r.Header, c, now)
+	got, err := n.relay.parseCall(r, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.source = nil
+	if diff := cmp.Diff(c, got, cmp.AllowUnexported(call{}, lineage{})); diff != "" {
+		t.Errorf("call (-want +got):\n%s", diff)
+	}
+	res := &result{
+		outcome: dogwoodford.NotRun, reason: dogwoodford.ReasonOverload, retryAfter: 1200 * time.Millisecond,
+		childFailed: true, load: &dogwoodford.Load{InFlight: 1, Queued: 2, Limit: 3, Cutoff: 4}, below: 5,
+	}
+	h := make(http.Header)
+	formatAnswer(h, res, 7)
+	back, version, err := parseAnswer(h)
+	if err != nil || version != 7 {
+		t.Fatalf("version %d, error %v", version, err)
+	}
+	if diff := cmp.Diff(res, back, cmp.AllowUnexported(result{})); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// FuzzParseCall guards against headers of other nodes that crash a guard.
+func FuzzParseCall(f *testing.F) {
+	f.Add("1 1 300 1 2 0 0 sheet 10.0.0.1:1 rounds billing")
+	f.Add("")
+	h := New(Config{Headers: names, Fleet: &world{}})
+	f.Fuzz(func(_ *testing.T, text string) {
+		r := &http.Request{Header: http.Header{headerCall: {text}}}
+		if c, err := h.parseCall(r, time.Now()); err == nil {
+			c.body = &body{}
+			c.request()
+		}
+	})
+}
