--- a/core/version/dogtable/table_test.go
+++ b/core/version/dogtable/table_test.go
@@ -31,34 +31,37 @@
 	}
 	for _, f := range ar.Files {
 		t.Run(f.Name, func(t *testing.T) {
-			var routes []RouteSpec
-			var got strings.Builder
-			var table *Table
-			for line := range strings.Lines(string(f.Data)) {
-				w := strings.Fields(line)
-				if w[0] == "route" {
-					routes = append(routes, route(w[1], w[2], w[3], Backend{Service: "orders", Weight: 1}))
-					got.WriteString(line)
-					continue
-				}
-				if table == nil {
-					if table, err = New(spec(1, routes...)); err != nil {
-						t.Fatal(err)
-					}
-				}
-				name := "none"
-				if r, ok := table.Lookup(w[1], w[2]); ok {
-					name = r.Name()
-				}
-				fmt.Fprintf(&got, "ask %s %s %s\n", w[1], w[2], name)
-			}
-			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+			if diff := cmp.Diff(string(f.Data), lookups(t, string(f.Data))); diff != "" {
 				t.Errorf("mismatch (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
 
+// lookups returns the script with the routes that are found.
+func lookups(t *testing.T, script string) string {
+	var routes []RouteSpec
+	var got strings.Builder
+	for line := range strings.Lines(script) {
+		w := strings.Fields(line)
+		if w[0] == "route" {
+			routes = append(routes, route(w[1], w[2], w[3], Backend{Service: "orders", Weight: 1}))
+			got.WriteString(line)
+			continue
+		}
+		table, err := New(spec(1, routes...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := "none"
+		if r, ok := table.Lookup(w[1], w[2]); ok {
+			name = r.Name()
+		}
+		fmt.Fprintf(&got, "ask %s %s %s\n", w[1], w[2], name)
+	}
+	return got.String()
+}
+
 // TestInvalid guards against tables that would send requests nowhere.
 func TestInvalid(t *testing.T) {
 	one := Backend{Service: "orders", Weight: 1}
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -184,7 +184,7 @@
 	return w.budget >= 0
 }
 
-func (w *world) Admit(r dogwoodford.Request) dogwoodford.Verdict {
+func (w *world) Admit(dogwoodford.Request) dogwoodford.Verdict {
 	if w.refuse {
 		return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, time.Second)
 	}
