--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -138,7 +138,7 @@
 	n.state.slots = n.gate.SetSlots
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
-		DataCentre: settings.DataCentre, Peer: settings.Inbound, TargetAddress: settings.Target,
+		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: n.gate,
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand()})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
--- a/io/process/dogsidecar/settings.go
+++ b/io/process/dogsidecar/settings.go
@@ -19,7 +19,9 @@
 	Inbound  string // Listener for other nodes.
 	Ready    string // Listener for the question whether the node is ready.
 	Control  string // Listener for heartbeats of the target.
-	Metrics  string // Listener for metrics.
+	Metrics  string // Listener for metrics; none if empty.
+	// Advertised is the address at which other nodes reach Inbound.
+	Advertised string
 
 	Target    string        // Address of the target beside the node.
 	Heartbeat time.Duration // Usual time between two heartbeats.
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -206,7 +206,7 @@
 	defer s.mu.Unlock()
 	e := dogfleet.Entry{
 		Node: s.settings.Node, Service: s.settings.Service, DataCentre: s.settings.DataCentre,
-		Peer: s.settings.Inbound, State: s.target.State(time.Now()),
+		Peer: s.settings.Advertised, State: s.target.State(time.Now()),
 	}
 	if r, ok := s.target.Report(); ok {
 		e.Slots = r.Slots
