--- a/core/process/dogbudget/budget.go
+++ b/core/process/dogbudget/budget.go
@@ -34,6 +34,14 @@
 // New returns an empty budget.
 func New(o Options) *Budget { return &Budget{opts: o, services: make(map[string]*window)} }
 
+// SetOptions changes the budget. The counts stay, unless the window changes.
+func (b *Budget) SetOptions(o Options) {
+	if o.Window != b.opts.Window {
+		clear(b.services)
+	}
+	b.opts = o
+}
+
 // First records the first attempt of a request.
 func (b *Budget) First(now time.Time, service string) { b.window(now, service).first[0]++ }
 
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -118,4 +118,6 @@
 	ConfigRejected    = define(1812, "config-rejected", slog.LevelError)
 	ConfigPullFailed  = define(1813, "config-pull-failed", slog.LevelWarn)
 	LogLinesDropped   = define(1814, "log-lines-dropped", slog.LevelWarn)
+	SettingsReloaded  = define(1815, "settings-reloaded", slog.LevelInfo)
+	SettingsRejected  = define(1816, "settings-rejected", slog.LevelError)
 )
--- a/io/process/dogsidecar/doc.go
+++ b/io/process/dogsidecar/doc.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	err := dogsidecar.Run(ctx, settings, dialect, store, os.Stdout)
+//	err := dogsidecar.Run(ctx, settings, dialect, store, reload, os.Stdout)
 //
 // Run returns when ctx has ended and the requests in progress are answered.
 package dogsidecar
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -81,6 +81,7 @@
 	dialect  Dialect
 	store    dogwoodford.Store
 	inFlight atomic.Int64
+	again    Reload
 	servers  []*server
 }
 
@@ -93,11 +94,12 @@
 
 // Run runs a node until ctx ends and the requests in progress are answered.
 // Log lines go to out.
-func Run(ctx context.Context, settings Settings, dialect Dialect, store dogwoodford.Store, out io.Writer) error {
+func Run(ctx context.Context, settings Settings, dialect Dialect, store dogwoodford.Store, again Reload, out io.Writer) error {
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	n := newNode(settings, dialect, store, out)
+	n.again = again
 	defer n.log.close()
 	if err := n.listen(); err != nil {
 		n.log.event(doglog.ListenFailed, doglog.Err(err))
@@ -231,6 +233,7 @@
 	sup.Add(n.announce)
 	sup.Add(part{name: "probe", run: n.peers.probe})
 	sup.Add(part{name: "follow", run: n.peers.follow})
+	sup.Add(part{name: "reload", run: n.reload})
 	for _, s := range n.servers {
 		sup.Add(part{name: s.name, run: s.serve})
 	}
@@ -275,7 +278,7 @@
 	if err := n.announce.leave(ctx); err != nil {
 		n.log.event(doglog.PlatformConflict, slog.String("name", n.settings.Node), doglog.Err(err))
 	}
-	last := began.Add(n.settings.Grace - stopMargin)
+	last := began.Add(n.state.grace() - stopMargin)
 	for time.Now().Before(last) {
 		if time.Since(began) >= readyFor && n.inFlight.Load() == 0 {
 			return
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -44,7 +44,7 @@
 		target: dogtarget.New(dogtarget.Options{
 			Service: s.Service, Address: s.Target, Silence: silentBeats * s.Heartbeat,
 		}),
-		budget: dogbudget.New(dogbudget.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
+		budget: dogbudget.New(budgetOptions(s)),
 	}
 }
 
