Refuse requests of callers late in the grace of a stopping node

Ruled out: a node that hangs (it ended by its own bound).

Change: 3 s after the signal the entry refuses requests of callers as not run and closes their connections; calls of requests in progress pass.

--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -31,6 +31,10 @@
 	// not yet learnt of it still come. They stop after two missed answers, one
 	// a second.
 	readyFor = 2500 * time.Millisecond
+	// entryFor is the time after the stop signal in which the entry still takes
+	// requests. Callers may keep coming as long as the process listens, and the
+	// rest of the grace is for those in progress.
+	entryFor = 3 * time.Second
 	// guardFor is the time after the stop signal in which the guard still
 	// takes requests. What it takes ends well within the grace.
 	guardFor = 1500 * time.Millisecond
@@ -283,6 +287,9 @@
 		if time.Since(began) >= readyFor && n.inFlight.Load() == 0 {
 			return
 		}
+		if time.Since(began) >= entryFor {
+			n.state.leave()
+		}
 		sleep(ctx, stopPoll)
 	}
 	n.log.event(doglog.DrainTimedOut, slog.Int64("in_progress", n.inFlight.Load()))
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -33,6 +33,7 @@
 	budget   *dogbudget.Budget
 	stopping bool // The node answers that it is not ready.
 	closed   bool // The guard takes nothing new.
+	leaving  bool // The entry takes nothing new.
 	listed   bool // The entries in the store were read.
 }
 
@@ -225,6 +226,20 @@
 	s.wake()
 }
 
+// leave makes the entry refuse requests of callers.
+func (s *state) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Leaving implements dogrelay.Local.
+func (s *state) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *state) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -50,6 +50,9 @@
 	Answered(id string)
 	// Lost records that the target with this id is not there any more.
 	Lost(id string)
+	// Leaving reports whether the node takes no more requests of callers, as
+	// it could not answer them before its end.
+	Leaving() bool
 }
 
 // Budget bounds further attempts. Implementations are safe for concurrent use.
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -26,6 +26,9 @@
 		h.cfg.Metrics.AddTo(dogmetric.Refusals, string(res.reason), 1)
 		h.logFailed(ctx, c, id, res, start)
 	}
+	if h.cfg.Local.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	res.write(ctx, w, h.cfg.Headers.Attempt, id)
 	h.cfg.Metrics.Observe(dogmetric.EntryLatency, time.Since(start))
 }
@@ -44,6 +47,10 @@
 
 // enter finds the route of a request and sends it.
 func (h *Handlers) enter(ctx context.Context, r *http.Request, start time.Time) (*result, *call) {
+	parent := h.running.parent(r.Header.Get(h.cfg.Headers.Attempt))
+	if parent == nil && h.cfg.Local.Leaving() {
+		return refused(dogwoodford.ReasonDraining, leavingRetry), nil
+	}
 	table := h.cfg.Tables.Table()
 	if table == nil {
 		return refused(dogwoodford.ReasonNoConfig, noConfigRetry), nil
@@ -63,7 +70,6 @@
 		id: r.Header.Get(h.cfg.Headers.Attempt), service: h.cfg.Split.Choose(route), caller: h.cfg.Service,
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
-	parent := h.running.parent(c.id)
 	c.lineage = lineageOf(c, route, parent)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.call(ctx, c, route, parent)
@@ -111,6 +117,10 @@
 	return res
 }
 
+// leavingRetry is when a caller may come back to a node that is stopping: it
+// is started again or its callers have moved on by then.
+const leavingRetry = 500 * time.Millisecond
+
 // noConfigRetry is when a caller may come back to a node without a
 // configuration. Nodes read it within this time after their start.
 const noConfigRetry = 500 * time.Millisecond
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -141,6 +141,7 @@
 	reason  dogwoodford.Reason // Of the local target.
 	budget  int
 	refuse  bool // By pressure.
+	leaving bool
 	repeats int
 	lost    []string
 	gone    []string // Unreachable nodes.
@@ -151,6 +152,7 @@
 func (w *world) Reachable(string)              {}
 func (w *world) ConfigSeen(int64, string)      {}
 func (w *world) Answered(string)               {}
+func (w *world) Leaving() bool                 { return w.leaving }
 func (w *world) First(string)                  {}
 
 func (w *world) Unreachable(node string) {
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// TestLeaving guards against requests that a stopping node takes and can no
+// longer answer, and against calls of running requests that it turns away.
+func TestLeaving(t *testing.T) {
+	n := newTestNode(t, "node", "rounds", "ok", time.Second)
+	n.leaving = true
+	n.targets = []dogwoodford.Target{{Node: "node", Service: "rounds", State: dogwoodford.Ready}}
+	n.relay.running.add(&call{id: "a1"})
+	status, h, _, err := ask(t, n, "idempotent", "b1", "")
+	if err != nil || status != http.StatusServiceUnavailable || n.target.count() != 0 {
+		t.Errorf("request of a caller: status %d, error %v, %d runs; want 503 and none", status, err, n.target.count())
+	}
+	if h.Get("Retry-After") == "" {
+		t.Error("the refusal has no Retry-After")
+	}
+	if status, _, _, err := ask(t, n, "idempotent", "a1.c1", ""); err != nil || status != http.StatusOK {
+		t.Errorf("call: status %d, error %v; want 200", status, err)
+	}
+}
+
 // TestGuardOfAnotherService guards against requests that run at a service that
 // took over the address of a node.
 func TestGuardOfAnotherService(t *testing.T) {
