Let calls wait at guards, and leave nodes that have gone silent

Requests to nodes that had been cut off waited 1 s.

Ruled out: the retry budget (entries asked further guards, which costs none).

Change: with KeepCalls, the cutoff and the bound of the queue do not hold for calls; with Mean, entries go by the mean of the cutoffs. A node that has not answered for 150 ms while requests to it are in progress is asked twice whether it lives; if not, idempotent requests go elsewhere. Targets of a service that are all unreachable are tried for 1 s only, and a node from which most others are dark says that it is not ready. A request whose caller left is logged as cancelled, not as lost.

--- a/core/process/dogadmit/admit.go
+++ b/core/process/dogadmit/admit.go
@@ -14,6 +14,11 @@
 	TargetDelay time.Duration // Wait that the queue may cause persistently; default 20 ms.
 	MaxDelay    time.Duration // Wait that the full queue may cause; default 100 ms.
 	Rand        *rand.Rand    // Source of the jitter of Retry-After; required.
+	// KeepCalls lets requests that a target makes for another one wait as long
+	// as their deadline permits, whatever the cutoff and the length of the
+	// queue. Work has been done for them already, so demand is cut where their
+	// roots enter, by the cutoff that answers report.
+	KeepCalls bool
 }
 
 // Admission implements dogwoodford.Admission for one target.
@@ -64,7 +69,8 @@
 	if r.Attempt() <= 1 {
 		a.cutoff.arrived(r.Priority())
 	}
-	if r.Priority() < a.cutoff.value {
+	kept := a.opts.KeepCalls && r.Hop() > 0
+	if r.Priority() < a.cutoff.value && !kept {
 		return a.refuse(dogwoodford.ReasonOverload), nil
 	}
 	free := len(a.running) < a.limiter.limit()
@@ -80,18 +86,32 @@
 		return a.refuse(dogwoodford.ReasonDeadline), nil
 	}
 	most := a.queueMost()
-	if ahead >= most {
+	if ahead >= most && !kept {
 		return a.refuse(dogwoodford.ReasonQueueFull), nil
 	}
 	a.queue.push(now, r)
 	var out []dogwoodford.Release
 	for a.queue.len() > most {
-		last := a.queue.popLast()
+		last, ok := a.displaced()
+		if !ok {
+			break
+		}
 		out = append(out, dogwoodford.Release{ID: last.r.ID(), Verdict: a.refuse(dogwoodford.ReasonQueueFull)})
 	}
 	return dogwoodford.WaitVerdict(), out
 }
 
+// displaced takes the last request that may be refused for the length of the
+// queue out of it; false if there is none.
+func (a *Admission) displaced() (entry, bool) {
+	for i := a.queue.len() - 1; i >= 0; i-- {
+		if !a.opts.KeepCalls || a.queue.entries[i].r.Hop() == 0 {
+			return a.queue.take(i), true
+		}
+	}
+	return entry{}, false
+}
+
 // Done records the end of a request that ran; see dogwoodford.Admission. An ID
 // that does not run is ignored.
 func (a *Admission) Done(now time.Time, id string, s dogwoodford.Sample) []dogwoodford.Release {
--- a/core/process/dogadmit/queue.go
+++ b/core/process/dogadmit/queue.go
@@ -44,8 +44,6 @@
 
 func (q *queue) popFirst() entry { return q.take(0) }
 
-func (q *queue) popLast() entry { return q.take(len(q.entries) - 1) }
-
 func (q *queue) take(i int) entry {
 	e := q.entries[i]
 	q.entries = slices.Delete(q.entries, i, i+1)
--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -34,6 +34,7 @@
 type Fleet struct {
 	members map[string]*member
 	targets []dogwoodford.Target // Cached; nil after a change.
+	until   time.Time            // End of the use of targets.
 }
 
 type member struct {
@@ -43,6 +44,7 @@
 	down    time.Time // Start of the present unreachability; zero if reachable.
 	probeAt time.Time
 	backoff time.Duration
+	dark    bool // Nothing at all came back; a refused connection shows a machine that lives.
 }
 
 // New returns an empty view.
@@ -97,9 +99,10 @@
 // Len returns the number of known nodes.
 func (f *Fleet) Len() int { return len(f.members) }
 
-// Unreachable records that a node cannot be reached or takes no work. It
-// reports whether the node was reachable before.
-func (f *Fleet) Unreachable(now time.Time, name string) bool {
+// Unreachable records that a node cannot be reached or takes no work. dark
+// tells that its machine did not answer at all. It reports whether the node was
+// reachable before.
+func (f *Fleet) Unreachable(now time.Time, name string, dark bool) bool {
 	m := f.members[name]
 	if m == nil {
 		return false
@@ -111,6 +114,7 @@
 	} else {
 		m.backoff = min(2*m.backoff, lastProbe)
 	}
+	m.dark = dark
 	m.probeAt = now.Add(m.backoff)
 	return first
 }
@@ -160,13 +164,34 @@
 	return out
 }
 
+// isolatedShare is the share of the other nodes that are dark at a node that is
+// cut off itself. Losses of single data centres stay below it.
+const isolatedShare = 0.6
+
+// Isolated reports whether this node is probably cut off from the others.
+func (f *Fleet) Isolated(now time.Time) bool {
+	dark := 0
+	for _, m := range f.members {
+		if m.dark && !m.down.IsZero() && now.Sub(m.down) >= tryFor {
+			dark++
+		}
+	}
+	return len(f.members) > 2 && float64(dark) >= isolatedShare*float64(len(f.members)-1)
+}
+
+// tryFor is the time for which the targets of a service that are all
+// unreachable are tried all the same. After it, callers are told at once to
+// come back, as each try would hold them up.
+const tryFor = time.Second
+
 // Targets returns the targets that may take requests. If all ready targets of
-// a service are unreachable, they are returned all the same, as a try costs
-// less than a certain refusal. The caller must not change the slice.
-func (f *Fleet) Targets() []dogwoodford.Target {
-	if f.targets != nil {
+// a service have just become unreachable, they are returned all the same, as a
+// try costs less than a refusal. The caller must not change the slice.
+func (f *Fleet) Targets(now time.Time) []dogwoodford.Target {
+	if f.targets != nil && now.Before(f.until) {
 		return f.targets
 	}
+	f.until = now.Add(tryFor)
 	reachable := make(map[string]bool)
 	for _, m := range f.members {
 		if m.down.IsZero() && m.entry.State == dogwoodford.Ready {
@@ -175,9 +200,18 @@
 	}
 	out := make([]dogwoodford.Target, 0, len(f.members))
 	for _, m := range f.members {
-		if m.entry.State != dogwoodford.Ready || !m.down.IsZero() && reachable[m.entry.Service] {
+		if m.entry.State != dogwoodford.Ready {
 			continue
 		}
+		if !m.down.IsZero() {
+			end := m.down.Add(tryFor)
+			if reachable[m.entry.Service] || !now.Before(end) {
+				continue
+			}
+			if end.Before(f.until) {
+				f.until = end
+			}
+		}
 		out = append(out, dogwoodford.Target{
 			Node: m.entry.Node, Service: m.entry.Service, DataCentre: m.entry.DataCentre,
 			Peer: m.entry.Peer, State: dogwoodford.Ready, Slots: m.entry.Slots, Since: m.since, Seen: m.since,
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -14,6 +14,33 @@
 	"dogwoodford"
 )
 
+// TestSilence guards against a node that waits long for one that has gone
+// silent, and against questions to nodes that answer.
+func TestSilence(t *testing.T) {
+	s := NewSilence()
+	start := time.Unix(0, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	check := func(ms int, wantIn time.Duration, wantAsk bool) {
+		t.Helper()
+		if in, ask := s.Check(at(ms), "a"); in != wantIn || ask != wantAsk {
+			t.Errorf("at %d ms: check in %v, ask %v; want %v, %v", ms, in, ask, wantIn, wantAsk)
+		}
+	}
+	check(0, 0, false)
+	s.Sent(at(0), "a")
+	s.Sent(at(50), "a")
+	check(100, 50*time.Millisecond, false)
+	s.Heard(at(120), "a", true)
+	check(150, 120*time.Millisecond, false)
+	check(270, suspectAfter, true)
+	check(420, suspectAfter, false) // One question at a time.
+	s.Asked(at(430), "a", true)
+	check(500, 80*time.Millisecond, false)
+	check(600, suspectAfter, true)
+	s.Heard(at(700), "a", false)
+	check(700, 0, false)
+}
+
 // TestScripts runs the scripts in testdata. They guard against requests that
 // go to nodes that are gone, and against entries of gone nodes that stay for
 // ever. After "->" stand the targets, the nodes to probe and those to remove.
@@ -63,7 +90,7 @@
 	case "keep":
 		f.Keep(w[2:])
 	case "unreachable":
-		f.Unreachable(now, w[2])
+		f.Unreachable(now, w[2], len(w) > 3)
 	case "reachable":
 		f.Reachable(w[2])
 	case "wait":
@@ -75,7 +102,7 @@
 
 func show(f *Fleet, now time.Time) string {
 	var targets, probes, stale []string
-	for _, x := range f.Targets() {
+	for _, x := range f.Targets(now) {
 		targets = append(targets, x.Node)
 	}
 	for _, e := range f.Probes(now) {
@@ -94,6 +121,9 @@
 			out += " " + list.name + "=" + strings.Join(list.nodes, ",")
 		}
 	}
+	if f.Isolated(now) {
+		out += " isolated"
+	}
 	return strings.TrimSpace(out + " end")
 }
 
@@ -106,9 +136,9 @@
 				f.Put(now, Entry{Node: fmt.Sprint(i), Service: fmt.Sprint(i % 29), State: dogwoodford.Ready}, 1)
 			}
 			for b.Loop() {
-				f.Unreachable(now, "1")
+				f.Unreachable(now, "1", false)
 				f.Reachable("1")
-				f.Targets()
+				f.Targets(now)
 			}
 		})
 	}
--- a/core/process/dogpressure/table.go
+++ b/core/process/dogpressure/table.go
@@ -23,6 +23,10 @@
 	Expiry  time.Duration // Age at which a report no longer counts.
 	ProbeIn int           // One in this many requests below the cutoff passes.
 	Rand    *rand.Rand    // Chooses the probes and the jitter; required.
+	// Mean takes the mean of the cutoffs of a service's nodes in place of the
+	// lowest. It fits guards that let calls wait: requests are then spread over
+	// all nodes, and what all of them together can run decides.
+	Mean bool
 }
 
 // Report is what a guard reports with an answer.
@@ -140,9 +144,11 @@
 }
 
 // cutoff returns the lowest of what the fresh reports of the service's nodes
-// demand of class c: a request is hopeless only if no target admits it.
+// demand of class c, as a request is hopeless only if no target admits it, or
+// their mean.
 func (t *Table) cutoff(now time.Time, service string, c class) dogwoodford.Priority {
 	least, found := dogwoodford.Priority(0), false
+	sum, n := dogwoodford.Priority(0), dogwoodford.Priority(0)
 	for _, k := range t.services[service] {
 		if now.Sub(k.at) >= t.opts.Expiry {
 			continue
@@ -154,6 +160,10 @@
 		if !found || p < least {
 			least, found = p, true
 		}
+		sum, n = sum+p, n+1
+	}
+	if t.opts.Mean && n > 0 {
+		return sum / n
 	}
 	return least
 }
--- a/io/connection/dogconn/liveness.go
+++ b/io/connection/dogconn/liveness.go
@@ -1,7 +1,9 @@
 package dogconn
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -26,6 +28,13 @@
 // With one, the loss of a single packet would.
 const probesLost = 2
 
+// Refused reports whether err shows that the machine at the other side lives:
+// it refused or reset a connection.
+func Refused(err error) bool {
+	return errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, io.EOF) ||
+		errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // Dialer returns a dialer whose connections are given up as l says.
 func (l Liveness) Dialer(timeout time.Duration) *net.Dialer {
 	d := &net.Dialer{Timeout: timeout}
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -29,6 +30,9 @@
 	// peerTimeout bounds a control request to another node. Round trips take
 	// tens of milliseconds at most.
 	peerTimeout = 500 * time.Millisecond
+	// askTimeout bounds the question whether a node lives. It is many round
+	// trips within a region.
+	askTimeout = 150 * time.Millisecond
 	// probeEvery is the interval at which due probes are looked for.
 	probeEvery = 100 * time.Millisecond
 	// pullPause bounds how often a newer configuration is asked for.
@@ -55,6 +59,20 @@
 	log       *logger
 }
 
+// lives asks a node whether it lives. Any answer counts. It asks twice, as one
+// packet may be lost.
+func (p *peers) lives(e dogfleet.Entry) bool {
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		_, err := p.get(ctx, e.Peer, pingPath)
+		cancel()
+		if err == nil || errors.Is(err, errPeer) || dogconn.Refused(err) {
+			return true
+		}
+	}
+	return false
+}
+
 // get returns the answer of the node at addr.
 func (p *peers) get(ctx context.Context, addr, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -87,7 +105,7 @@
 		for _, e := range p.state.probes() {
 			wg.Go(func() {
 				if _, err := p.get(ctx, e.Peer, pingPath); err != nil {
-					p.state.Unreachable(e.Node)
+					p.state.Unreachable(e.Node, !errors.Is(err, errPeer) && !dogconn.Refused(err))
 					return
 				}
 				p.state.Reachable(e.Node)
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -138,15 +138,21 @@
 	toPeers := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: idlePeers, DialTimeout: dialTimeout, Liveness: live,
 	})
-	n.peers = &peers{transport: toPeers, state: n.state, store: store, configs: n.configs, log: n.log}
+	// Open connections may have gone silent while new ones work, so questions
+	// to nodes go over new ones.
+	toAsk := dogconn.NewPeer(dogconn.Options{
+		MaxConns: maxConns, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout, Liveness: live,
+	})
+	n.peers = &peers{transport: toAsk, state: n.state, store: store, configs: n.configs, log: n.log}
+	n.state.ask = n.peers.lives
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
-	n.gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: firstSlots, Rand: newRand()}))
+	n.gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: firstSlots, Rand: newRand(), KeepCalls: true}))
 	n.state.slots = n.gate.SetSlots
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: n.gate,
-		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand()})},
+		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand(), Mean: true})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(),
 		})),
@@ -201,8 +207,11 @@
 	}}
 }
 
-// ready reports whether callers should use this node.
-func (n *node) ready() bool { return !n.state.isStopping() && n.configs.tables.Table() != nil }
+// ready reports whether callers should use this node. One that is cut off from
+// the others could only serve what its own target serves.
+func (n *node) ready() bool {
+	return !n.state.isStopping() && n.configs.tables.Table() != nil && !n.state.isolated()
+}
 
 // counted counts the requests in progress.
 func (n *node) counted(h http.Handler) http.Handler {
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -24,10 +24,14 @@
 	changed  chan struct{} // Gets a value when the own entry may have changed.
 	newer    chan string   // Gets the peer address of a node with a newer configuration.
 	version  func() int64
-	slots    func(n int) // Tells the gate how much the target runs at once.
+	ask      func(e dogfleet.Entry) bool // Asks a node whether it lives.
+	slots    func(n int)                 // Tells the gate how much the target runs at once.
 
 	mu       sync.Mutex
 	fleet    *dogfleet.Fleet
+	silence  *dogfleet.Silence
+	alive    alive
+	checked  map[string]bool // Nodes whose silence a timer watches.
 	target   *dogtarget.Watch
 	last     dogwoodford.State // State of the target that was logged last.
 	budget   *dogbudget.Budget
@@ -41,7 +45,7 @@
 	return &state{
 		settings: s, log: log, version: version,
 		changed: make(chan struct{}, 1), newer: make(chan string, 1),
-		fleet: dogfleet.New(),
+		fleet: dogfleet.New(), silence: dogfleet.NewSilence(), alive: make(alive), checked: make(map[string]bool),
 		target: dogtarget.New(dogtarget.Options{
 			Service: s.Service, Address: s.Target, Silence: silentBeats * s.Heartbeat,
 		}),
@@ -139,7 +143,7 @@
 func (s *state) Targets() []dogwoodford.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fleet.Targets()
+	return s.fleet.Targets(time.Now())
 }
 
 // Nodes implements dogrelay.Fleet.
@@ -150,15 +154,25 @@
 }
 
 // Unreachable implements dogrelay.Fleet.
-func (s *state) Unreachable(node string) {
+func (s *state) Unreachable(node string, dark bool) {
 	s.mu.Lock()
-	first := s.fleet.Unreachable(time.Now(), node)
+	first := s.fleet.Unreachable(time.Now(), node, dark)
+	if dark {
+		s.alive.end(node)
+	}
 	s.mu.Unlock()
 	if first {
-		s.log.event(doglog.PeerUnreachable, slog.String("peer", node))
+		s.log.event(doglog.PeerUnreachable, slog.String("peer", node), slog.Bool("dark", dark))
 	}
 }
 
+// isolated reports whether the node is probably cut off from the others.
+func (s *state) isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Isolated(time.Now())
+}
+
 // Reachable implements dogrelay.Fleet.
 func (s *state) Reachable(node string) {
 	s.mu.Lock()
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -31,8 +31,15 @@
 	Targets() []dogwoodford.Target
 	// Nodes returns the number of nodes.
 	Nodes() int
-	// Unreachable records that a connection to a node failed.
-	Unreachable(node string)
+	// Unreachable records that a node cannot be reached or takes no work. dark
+	// tells that its machine did not answer at all.
+	Unreachable(node string, dark bool)
+	// Sent records a request to a node, and Heard its end. answered tells
+	// whether the node gave an answer.
+	Sent(node string)
+	Heard(node string, answered bool)
+	// Alive returns a context that ends when the node is found to be dark.
+	Alive(node string) context.Context
 	// Reachable records that a node answered.
 	Reachable(node string)
 	// ConfigSeen records that the node with this peer address has a version of
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -155,7 +155,13 @@
 func (w *world) Leaving() bool                 { return w.leaving }
 func (w *world) First(string)                  {}
 
-func (w *world) Unreachable(node string) {
+func (w *world) Sent(string)        {}
+func (w *world) Heard(string, bool) {}
+
+// Alive implements Fleet; the nodes of tests do not go dark.
+func (w *world) Alive(string) context.Context { return context.Background() }
+
+func (w *world) Unreachable(node string, _ bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.gone = append(w.gone, node)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -126,10 +126,7 @@
 		}
 		return refused(dogwoodford.ReasonNoTarget, 0)
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return lost(dogwoodford.ReasonDeadline)
-	}
-	return lost(dogwoodford.ReasonLost)
+	return lost(unansweredReason(ctx))
 }
 
 // answered checks the answer of the target and reads its body.
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -8,6 +8,7 @@
 	"dogwoodford"
 	"dogwoodford/core/connection/dogoutcome"
 	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglog"
 )
 
@@ -89,27 +90,54 @@
 
 // remote sends a call to the guard on another machine.
 func (h *Handlers) remote(ctx context.Context, c *call, t dogwoodford.Target) *result {
-	out := c.outgoing(ctx, t.Peer)
+	sendCtx, cancel := ctx, func() {}
+	if c.kind == dogtable.Idempotent {
+		// There is no use in waiting for a node that is found to be dark.
+		var stop context.CancelFunc
+		sendCtx, stop = context.WithCancel(ctx)
+		unhook := context.AfterFunc(h.cfg.Fleet.Alive(t.Node), stop)
+		cancel = func() { unhook(); stop() }
+	}
+	out := c.outgoing(sendCtx, t.Peer)
 	h.formatCall(out.Header, c, time.Now())
+	h.cfg.Fleet.Sent(t.Node)
 	resp, stage, err := h.cfg.Peers.Do(out)
+	h.cfg.Fleet.Heard(t.Node, err == nil)
 	if err != nil {
+		cancel()
 		return h.peerFailed(ctx, c, t, stage, err)
 	}
-	return h.peerAnswered(ctx, c, t, resp)
+	res := h.peerAnswered(ctx, c, t, resp)
+	finish := res.release
+	res.release = func() {
+		if finish != nil {
+			finish()
+		}
+		cancel()
+	}
+	return res
 }
 
 func (h *Handlers) peerFailed(ctx context.Context, c *call, t dogwoodford.Target, stage dogoutcome.Stage, err error) *result {
 	if ctx.Err() == nil {
-		h.cfg.Fleet.Unreachable(t.Node)
+		h.cfg.Fleet.Unreachable(t.Node, !dogconn.Refused(err))
 	}
 	h.cfg.Log.Event(ctx, doglog.PeerUnanswered, idAttr(c.id), nodeAttr(t.Node), stageAttr(stage), doglog.Err(err))
 	if dogoutcome.Classify(dogoutcome.Facts{Stage: stage}) == dogwoodford.NotRun {
 		return refused(dogwoodford.ReasonNoTarget, noTargetRetry)
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return lost(dogwoodford.ReasonDeadline)
-	}
-	return lost(dogwoodford.ReasonLost)
+	return lost(unansweredReason(ctx))
+}
+
+// unansweredReason returns why a request that may have run got no answer.
+func unansweredReason(ctx context.Context) dogwoodford.Reason {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return dogwoodford.ReasonDeadline
+	case context.Canceled:
+		return dogwoodford.ReasonCancelled
+	}
+	return dogwoodford.ReasonLost
 }
 
 func (h *Handlers) peerAnswered(ctx context.Context, c *call, t dogwoodford.Target, resp *http.Response) *result {
@@ -122,7 +150,7 @@
 	h.cfg.Fleet.ConfigSeen(version, t.Peer)
 	h.cfg.Pressure.Reported(c.request(), t.Node, res.load.Cutoff, res.below)
 	if res.reason == dogwoodford.ReasonNoTarget || res.reason == dogwoodford.ReasonDraining {
-		h.cfg.Fleet.Unreachable(t.Node)
+		h.cfg.Fleet.Unreachable(t.Node, false)
 	} else {
 		h.cfg.Fleet.Reachable(t.Node)
 	}
