Let the cutoff make room for calls that wait

Calls that another target refused are not counted as arrivals, so arrivals never exceeded starts and the cutoff did not rise.

Ruled out: counting them as arrivals, which would count one demand at several targets.

Change: with KeepCalls, the cutoff rises by the number of requests that wait beyond the allowed length.

--- a/cmd/dogsoak/main.go
+++ b/cmd/dogsoak/main.go
@@ -37,6 +37,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`"},
 			&cli.IntFlag{Name: "count", Value: 1, Usage: "number `N` of seeds"},
 			&cli.IntFlag{Name: "nodes", Value: 2, Usage: "nodes `N` of each service"},
+			&cli.IntFlag{Name: "subnet", Usage: "second `NUMBER` of all addresses in 127.0.0.0/8"},
 			&cli.DurationFlag{Name: "faults", Value: 10 * time.Second, Usage: "`TIME` with faults"},
 		},
 		Action: run,
@@ -57,6 +58,7 @@
 		}
 		r, err := soak.Run(ctx, soak.Config{
 			Seed: seed, Program: cmd.String("program"), Dir: dir, PerNode: cmd.Int("nodes"), Faults: cmd.Duration("faults"),
+			Subnet: cmd.Int("subnet"),
 		})
 		if err != nil {
 			return fmt.Errorf("run seed: %w", err)
--- a/core/process/dogadmit/admit.go
+++ b/core/process/dogadmit/admit.go
@@ -51,6 +51,7 @@
 		opts:    o,
 		limiter: newLimiter(o.Slots, o.MinLimit),
 		running: make(map[string]struct{}),
+		cutoff:  cutoff{drain: o.KeepCalls},
 	}
 }
 
--- a/core/process/dogadmit/cutoff.go
+++ b/core/process/dogadmit/cutoff.go
@@ -32,6 +32,7 @@
 	starts   float64
 	end      time.Time // End of the present window.
 	least    int       // Shortest queue in the window.
+	drain    bool      // Make room for the requests that wait beyond the allowed length.
 }
 
 func (c *cutoff) arrived(p dogwoodford.Priority) { c.arrivals[p]++ }
@@ -63,7 +64,7 @@
 func (c *cutoff) close(allowed int) {
 	switch {
 	case c.least > allowed:
-		c.raise()
+		c.raise(c.least - allowed)
 		c.step = 0
 	case c.least == 0 && c.value > 0:
 		c.step = max(1, 2*c.step)
@@ -80,9 +81,14 @@
 // raise sets the cutoff to the lowest value above which the recent arrivals do
 // not exceed the recent starts by more than the margin. A queue that remains
 // while the arrivals do not exceed the starts is drained by priority; raising
-// the cutoff for it too would refuse work that can be served.
-func (c *cutoff) raise() {
+// the cutoff for it too would refuse work that can be served. With drain it is
+// raised by excess requests more: those that wait are not refused then, and
+// without room for them all that follow would wait as long.
+func (c *cutoff) raise(excess int) {
 	sum := 0.0
+	if c.drain {
+		sum = float64(excess)
+	}
 	for p := dogwoodford.MaxPriority; p > c.value; p-- {
 		if sum += float64(c.arrivals[p]); sum > c.starts*cutoffMargin {
 			c.value = p
--- a/core/process/dogpressure/table_test.go
+++ b/core/process/dogpressure/table_test.go
@@ -104,3 +104,19 @@
 		t.Errorf("cutoff %d after 10 s without a source, want 0", got)
 	}
 }
+
+// TestMean guards against entries that go by the one node with room while the
+// others refuse calls whose trees have done their work.
+func TestMean(t *testing.T) {
+	tab := New(Options{Rand: rand.New(rand.NewPCG(1, 1)), Mean: true})
+	r := request("depot", "sheet", 5, 0)
+	tab.Reported(start, r, "depot-1", Report{Own: 600})
+	tab.Reported(start, r, "depot-2", Report{Own: 0})
+	tab.Reported(start, r, "depot-3", Report{Own: 300})
+	if got := tab.Cutoff(start, r); got != 300 {
+		t.Errorf("cutoff %d, want the mean 300", got)
+	}
+	if got := tab.Cutoff(start.Add(DefaultExpiry), r); got != 0 {
+		t.Errorf("cutoff %d of expired reports, want 0", got)
+	}
+}
