--- a/cmd/dogsoak/main.go
+++ b/cmd/dogsoak/main.go
@@ -51,6 +51,9 @@
 func run(ctx context.Context, cmd *cli.Command) error {
 	failed := 0
 	for i := range cmd.Int("count") {
+		if ctx.Err() != nil {
+			return fmt.Errorf("stopped after %d seeds: %w", i, ctx.Err())
+		}
 		seed := cmd.Uint64("seed") + uint64(i)
 		dir := filepath.Join(cmd.String("dir"), fmt.Sprint(seed))
 		if err := os.MkdirAll(dir, 0o700); err != nil {
