--- a/cmd/dogsoak/main.go
+++ b/cmd/dogsoak/main.go
@@ -37,6 +37,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`"},
 			&cli.IntFlag{Name: "count", Value: 1, Usage: "number `N` of seeds"},
 			&cli.IntFlag{Name: "nodes", Value: 2, Usage: "nodes `N` of each service"},
+			&cli.BoolFlag{Name: "events", Usage: "print the faults of all seeds"},
 			&cli.IntFlag{Name: "subnet", Usage: "second `NUMBER` of all addresses in 127.0.0.0/8"},
 			&cli.DurationFlag{Name: "faults", Value: 10 * time.Second, Usage: "`TIME` with faults"},
 		},
@@ -68,20 +69,26 @@
 		}
 		fmt.Println(r)
 		if len(r.Violations) == 0 {
+			if cmd.Bool("events") {
+				printAll(r.Events)
+			}
 			if err := os.RemoveAll(dir); err != nil {
 				return fmt.Errorf("remove %s: %w", dir, err)
 			}
 			continue
 		}
 		failed++
-		for _, lines := range [][]string{r.Events, r.Violations} {
-			for _, l := range lines {
-				fmt.Println("   ", l)
-			}
-		}
+		printAll(r.Events)
+		printAll(r.Violations)
 	}
 	if failed > 0 {
 		return fmt.Errorf("%d seeds: %w", failed, errBroken)
 	}
 	return nil
 }
+
+func printAll(lines []string) {
+	for _, l := range lines {
+		fmt.Println("   ", l)
+	}
+}
