--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -94,7 +94,7 @@
 	r, _ := s.target.Report()
 	s.log.event(doglog.TargetState, slog.String("target", r.ID), slog.String("before", s.last.String()),
 		slog.String("state", st.String()), slog.Int64("born", r.Born), slog.Int64("sequence", r.Sequence),
-		slog.Int("slots", r.Slots))
+		slog.Int("slots", r.Slots), slog.Int64("cold_ms", r.Cold.Milliseconds()))
 	s.last = st
 	s.wake()
 }
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// status of an answer that no target gave.
+// ownStatus returns the status of an answer that no target gave.
 func (r *result) ownStatus(ctx context.Context) int {
 	switch {
 	case r.reason == dogwoodford.ReasonNoRoute:
