Do not answer 'not run' after an attempt that may have run

Cause: an idempotent request whose first target gave no answer or failed was sent on; if the next guard refused it, the caller got that refusal, 503 and 'not run', although the request may have run. Found by reading the change.

Ruled out: requests that may run once, which are sent on only after 'not run'.

Change: a refusal does not replace an earlier result that is not one.

--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -20,7 +20,7 @@
 // further attempt is permitted.
 func (h *Handlers) send(ctx context.Context, c *call, route *dogtable.Route) *result {
 	var tried []string
-	var last *result
+	var answer *result
 	reached := 0 // Targets that the request may have reached.
 	for guards := 0; guards < maxGuards; guards++ {
 		c.attempt++
@@ -28,22 +28,35 @@
 		if reason != dogwoodford.ReasonNone {
 			break
 		}
-		if last != nil {
-			last.end()
-		}
-		last = h.attempt(ctx, c, t)
+		res := h.attempt(ctx, c, t)
+		answer = better(answer, res)
 		tried = append(tried, t.Node)
-		if last.arrived {
+		if res.arrived {
 			reached++
 		}
-		if !h.again(ctx, c, route, last, reached) {
-			return last
+		if !h.again(ctx, c, route, res, reached) {
+			break
 		}
 	}
-	if last == nil {
+	if answer == nil {
 		return refused(dogwoodford.ReasonNoTarget, noTargetRetry)
 	}
-	return last
+	return answer
+}
+
+// better returns what the caller gets of two results, the later of which is
+// next, and ends the other. A refusal as not run would not be true after an
+// attempt that may have run.
+func better(last, next *result) *result {
+	if last == nil {
+		return next
+	}
+	if next.outcome == dogwoodford.NotRun && last.outcome != dogwoodford.NotRun {
+		next.end()
+		return last
+	}
+	last.end()
+	return next
 }
 
 // noTargetRetry is when a caller may come back if no target of the service is
