--- a/io/process/dognode/drain.go
+++ b/io/process/dognode/drain.go
@@ -10,6 +10,7 @@
 	"dogwoodford/core/process/dogmember"
 	"dogwoodford/core/process/dogrange"
 	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
 )
 
 const (
@@ -66,7 +67,7 @@
 	d.begin()
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
-	pause(ctx, settleTime)
+	dogserve.Pause(ctx, settleTime)
 	d.waitHandover(ctx)
 	// Callers that use this node as their entry are let finish; then nothing
 	// new comes to the own target from here.
@@ -76,7 +77,7 @@
 	d.n.control.ask(ctx, func(now time.Time) {
 		d.n.control.onMember(now, dogmember.SelfChanged{State: dogwoodford.Left, Slots: d.n.control.slots})
 	})
-	pause(ctx, settleTime)
+	dogserve.Pause(ctx, settleTime)
 	d.n.servers.shutdown(ctx, "peer")
 	if ctx.Err() != nil {
 		d.n.log(doglog.DrainTimedOut)
@@ -89,7 +90,7 @@
 	for handed := false; !handed && ctx.Err() == nil; {
 		d.n.control.ask(ctx, func(time.Time) { handed = d.n.control.ranges.Handed() })
 		if !handed {
-			pause(ctx, drainPoll)
+			dogserve.Pause(ctx, drainPoll)
 		}
 	}
 }
@@ -100,6 +101,6 @@
 		if l.InFlight == 0 && l.Queued == 0 && d.n.records.Stats().InProgress == 0 {
 			return
 		}
-		pause(ctx, drainPoll)
+		dogserve.Pause(ctx, drainPoll)
 	}
 }
--- a/io/process/dognode/node.go
+++ b/io/process/dognode/node.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 	"dogwoodford/io/process/dogmetric"
 	"dogwoodford/io/process/dogpeer"
 	"dogwoodford/io/process/dogplatform"
+	"dogwoodford/io/process/dogserve"
 	"dogwoodford/io/process/dogsettings"
 	"dogwoodford/io/process/dogtrace"
 	"dogwoodford/io/request/doggate"
@@ -180,7 +180,7 @@
 	sup.Add(n.target)
 	sup.Add(n.contractWatch)
 	sup.Add(n.drainWatch)
-	sup.Add(service{name: "expire", run: n.expire})
+	sup.Add(dogserve.Func("expire", n.expire))
 	n.servers.addTo(sup)
 	return sup.ServeBackground(ctx)
 }
@@ -188,24 +188,12 @@
 // expire forgets old records, so that an idle owner frees its memory.
 func (n *node) expire(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, expireEvery)
+		dogserve.Pause(ctx, expireEvery)
 		n.records.Expire(time.Now())
 	}
 	return ctx.Err()
 }
 
-// service is a supervised function.
-type service struct {
-	name string
-	run  func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-
-// String names the service in the supervisor's events.
-func (s service) String() string { return s.name }
-
 // async makes a call for the control loop without holding it up.
 func (n *node) async(f func(ctx context.Context)) {
 	n.wg.Add(1)
@@ -232,17 +220,9 @@
 	return p
 }
 
-// server is one listener with its handler.
-type server struct {
-	name string
-	addr string
-	srv  *http.Server
-	ln   net.Listener
-}
-
 // servers are the listeners of a node.
 type servers struct {
-	all []*server
+	all []*dogserve.Server
 }
 
 func newServers(n *node) *servers {
@@ -251,7 +231,7 @@
 	peer.Handle(path, h)
 	peer.Handle("/", n.handlers.Peer())
 	l := n.settings.Listen
-	return &servers{all: []*server{
+	return &servers{all: []*dogserve.Server{
 		newServer("entry", l.Entry, n.handlers.Entry()),
 		newServer("exit", l.Exit, n.handlers.Exit()),
 		newServer("peer", l.Peer, peer),
@@ -259,8 +239,8 @@
 	}}
 }
 
-func newServer(name, addr string, h http.Handler) *server {
-	return &server{name: name, addr: addr, srv: &http.Server{
+func newServer(name, addr string, h http.Handler) *dogserve.Server {
+	return dogserve.New(name, addr, &http.Server{
 		Handler:   h,
 		Protocols: protocols(),
 		// Bounds what a slow or idle caller holds; bodies have the deadline of
@@ -268,49 +248,31 @@
 		ReadHeaderTimeout: 10 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 1000},
-	}}
+	})
 }
 
-// listen opens all listeners, so that a node with a taken address fails at its
-// start.
+// listen opens all listeners.
 func (s *servers) listen() error {
 	for _, v := range s.all {
-		ln, err := net.Listen("tcp", v.addr)
-		if err != nil {
-			return fmt.Errorf("listen %s: %w", v.name, err)
+		if err := v.Listen(); err != nil {
+			return err
 		}
-		v.ln = ln
 	}
 	return nil
 }
 
 func (s *servers) addTo(sup *suture.Supervisor) {
 	for _, v := range s.all {
-		sup.Add(service{name: v.name, run: v.serve})
-	}
-}
-
-func (v *server) serve(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- v.srv.Serve(v.ln) }()
-	select {
-	case err := <-failed:
-		if err == http.ErrServerClosed {
-			return suture.ErrDoNotRestart
-		}
-		return fmt.Errorf("serve %s: %w", v.name, err)
-	case <-ctx.Done():
-		_ = v.srv.Close() // After a drain nothing is in progress.
-		return ctx.Err()
+		sup.Add(v)
 	}
 }
 
 // shutdown closes a listener and waits for its requests in progress.
 func (s *servers) shutdown(ctx context.Context, name string) {
 	for _, v := range s.all {
-		if v.name == name {
+		if v.String() == name {
 			// The error is that of ctx, which the caller looks at.
-			_ = v.srv.Shutdown(ctx)
+			_ = v.Shutdown(ctx)
 		}
 	}
 }
--- a/io/process/dognode/watch.go
+++ b/io/process/dognode/watch.go
@@ -11,6 +11,7 @@
 	"dogwoodford/core/process/dogmember"
 	"dogwoodford/core/version/dogconfig"
 	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
 )
 
 const drainPrefix = "drain/"
@@ -78,7 +79,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				w.n.limited.Log(ctx, doglog.WatchFailed, attr("prefix", w.prefix), doglog.Err(err))
-				pause(ctx, watchPause)
+				dogserve.Pause(ctx, watchPause)
 			}
 			return
 		}
@@ -91,15 +92,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *control) setWatch(on bool) {
 	c.n.contractWatch.set(on)
 	c.n.drainWatch.set(on)
--- /dev/null
+++ b/io/process/dogserve/serve_test.go
@@ -0,0 +1,74 @@
+package dogserve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+)
+
+// TestServe guards against a listener that the supervisor starts again after a
+// planned shutdown, and against one that goes on after the end of its node.
+func TestServe(t *testing.T) {
+	for name, end := range map[string]func(*Server, context.CancelFunc) error{
+		"shutdown": func(s *Server, _ context.CancelFunc) error { return s.Shutdown(t.Context()) },
+		"cancel":   func(_ *Server, cancel context.CancelFunc) error { cancel(); return nil },
+	} {
+		s := New("entry", "127.0.0.1:0", &http.Server{Handler: http.NotFoundHandler()})
+		if err := s.Listen(); err != nil {
+			t.Fatal(err)
+		}
+		addr := s.ln.Addr().String()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ctx) }()
+		resp, err := http.Get("http://" + addr)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		resp.Body.Close()
+		if err := end(s, cancel); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if err := <-done; !errors.Is(err, suture.ErrDoNotRestart) && !errors.Is(err, context.Canceled) {
+			t.Errorf("%s: Serve returns %v", name, err)
+		}
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			t.Errorf("%s: the listener is still open", name)
+		}
+		cancel()
+	}
+}
+
+// TestListenTaken guards against a node that starts without one of its
+// listeners.
+func TestListenTaken(t *testing.T) {
+	a := New("a", "127.0.0.1:0", &http.Server{})
+	if err := a.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer a.ln.Close()
+	if err := New("b", a.ln.Addr().String(), &http.Server{}).Listen(); err == nil {
+		t.Error("a taken address is no error")
+	}
+}
+
+// TestPause guards against a pause that outlasts its context.
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		Pause(t.Context(), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		Pause(ctx, time.Hour)
+		if got := time.Since(start); got != 2*time.Second {
+			t.Errorf("paused for %v, want 2 s", got)
+		}
+	})
+}
--- a/io/process/dogsidecar/announce.go
+++ b/io/process/dogsidecar/announce.go
@@ -10,6 +10,7 @@
 
 	"dogwoodford"
 	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
 )
 
 const (
@@ -40,7 +41,7 @@
 		a.state.refresh()
 		if err := a.write(ctx); err != nil && ctx.Err() == nil {
 			a.log.event(doglog.PlatformConflict, slog.String("name", a.state.settings.Node), doglog.Err(err))
-			sleep(ctx, writePause)
+			dogserve.Pause(ctx, writePause)
 			continue
 		}
 		a.wait(ctx)
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -17,6 +17,7 @@
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
 )
 
 // Paths of the requests between nodes that carry no request of a caller.
@@ -100,7 +101,7 @@
 // of those that never do.
 func (p *peers) probe(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, probeEvery)
+		dogserve.Pause(ctx, probeEvery)
 		var wg sync.WaitGroup
 		for _, e := range p.state.probes() {
 			wg.Go(func() {
@@ -136,7 +137,7 @@
 		case addr := <-p.state.newer:
 			p.configs.pull(ctx, p, addr)
 			p.pullEntries(ctx, addr)
-			sleep(ctx, pullPause)
+			dogserve.Pause(ctx, pullPause)
 		}
 	}
 	return ctx.Err()
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/process/dogserve"
 	"dogwoodford/io/request/doggate"
 	"dogwoodford/io/request/dogrelay"
 )
@@ -86,14 +86,7 @@
 	store    dogwoodford.Store
 	inFlight atomic.Int64
 	again    Reload
-	servers  []*server
-}
-
-type server struct {
-	name string
-	addr string
-	srv  *http.Server
-	ln   net.Listener
+	servers  []*dogserve.Server
 }
 
 // Run runs a node until ctx ends and the requests in progress are answered.
@@ -173,7 +166,7 @@
 // newRand returns a source of random numbers with a seed of its own.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func (n *node) newServers() []*server {
+func (n *node) newServers() []*dogserve.Server {
 	control := n.peers.handler()
 	guard := n.counted(n.relay.Guard())
 	inbound := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -183,7 +176,7 @@
 		}
 		control.ServeHTTP(w, r)
 	})
-	servers := []*server{
+	servers := []*dogserve.Server{
 		newServer("outbound", n.settings.Outbound, n.counted(n.relay.Entry())),
 		newServer("inbound", n.settings.Inbound, inbound),
 		newServer("ready", n.settings.Ready, n.dialect.Ready(n.ready)),
@@ -200,11 +193,11 @@
 // connection again up to then.
 const idleCallers = 2 * time.Minute
 
-func newServer(name, addr string, h http.Handler) *server {
-	return &server{name: name, addr: addr, srv: &http.Server{
+func newServer(name, addr string, h http.Handler) *dogserve.Server {
+	return dogserve.New(name, addr, &http.Server{
 		Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleCallers,
 		DisableGeneralOptionsHandler: true,
-	}}
+	})
 }
 
 // ready reports whether callers should use this node. One that is cut off from
@@ -224,11 +217,9 @@
 
 func (n *node) listen() error {
 	for _, s := range n.servers {
-		ln, err := net.Listen("tcp", s.addr)
-		if err != nil {
-			return fmt.Errorf("listen %s: %w", s.name, err)
+		if err := s.Listen(); err != nil {
+			return err
 		}
-		s.ln = ln
 	}
 	return nil
 }
@@ -244,49 +235,22 @@
 	sup.Add(config)
 	sup.Add(entries)
 	sup.Add(n.announce)
-	sup.Add(part{name: "probe", run: n.peers.probe})
-	sup.Add(part{name: "follow", run: n.peers.follow})
-	sup.Add(part{name: "reload", run: n.reload})
+	sup.Add(dogserve.Func("probe", n.peers.probe))
+	sup.Add(dogserve.Func("follow", n.peers.follow))
+	sup.Add(dogserve.Func("reload", n.reload))
 	for _, s := range n.servers {
-		sup.Add(part{name: s.name, run: s.serve})
+		sup.Add(s)
 	}
 	return sup.ServeBackground(ctx)
 }
 
-// part is a supervised function.
-type part struct {
-	name string
-	run  func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (p part) Serve(ctx context.Context) error { return p.run(ctx) }
-
-// String names the part in the supervisor's events.
-func (p part) String() string { return p.name }
-
-func (s *server) serve(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- s.srv.Serve(s.ln) }()
-	select {
-	case err := <-failed:
-		if err == http.ErrServerClosed {
-			return suture.ErrDoNotRestart
-		}
-		return fmt.Errorf("serve %s: %w", s.name, err)
-	case <-ctx.Done():
-		_ = s.srv.Close() // What is still in progress has had its time.
-		return ctx.Err()
-	}
-}
-
 // stop lets callers and other nodes go elsewhere and waits for what is in
 // progress.
 func (n *node) stop(ctx context.Context) {
 	began := time.Now()
 	n.state.stop(false)
 	n.log.event(doglog.NodeDraining, slog.Int64("in_progress", n.inFlight.Load()))
-	sleep(ctx, guardFor)
+	dogserve.Pause(ctx, guardFor)
 	n.state.stop(true)
 	if err := n.announce.leave(ctx); err != nil {
 		n.log.event(doglog.PlatformConflict, slog.String("name", n.settings.Node), doglog.Err(err))
@@ -299,7 +263,7 @@
 		if time.Since(began) >= entryFor {
 			n.state.leave()
 		}
-		sleep(ctx, stopPoll)
+		dogserve.Pause(ctx, stopPoll)
 	}
 	n.log.event(doglog.DrainTimedOut, slog.Int64("in_progress", n.inFlight.Load()))
 }
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -10,6 +10,7 @@
 
 	"dogwoodford"
 	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
 )
 
 const (
@@ -62,7 +63,7 @@
 		if errors.Is(err, dogwoodford.ErrCompacted) {
 			continue
 		}
-		sleep(ctx, pause)
+		dogserve.Pause(ctx, pause)
 		pause = min(2*pause, watchRetryMost)
 	}
 	return ctx.Err()
@@ -140,13 +141,3 @@
 		w.log.event(doglog.StoreLost, slog.String("kind", w.kind), doglog.Err(err))
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
