--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -67,13 +67,16 @@
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		_, err := p.get(ctx, e.Peer, pingPath)
 		cancel()
-		if err == nil || errors.Is(err, errPeer) || dogconn.Refused(err) {
+		if err == nil || !dark(err) {
 			return true
 		}
 	}
 	return false
 }
 
+// dark reports whether a failed request shows that nothing at all came back.
+func dark(err error) bool { return !errors.Is(err, errPeer) && !dogconn.Refused(err) }
+
 // get returns the answer of the node at addr.
 func (p *peers) get(ctx context.Context, addr, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -106,7 +109,7 @@
 		for _, e := range p.state.probes() {
 			wg.Go(func() {
 				if _, err := p.get(ctx, e.Peer, pingPath); err != nil {
-					p.state.Unreachable(e.Node, !errors.Is(err, errPeer) && !dogconn.Refused(err))
+					p.state.Unreachable(e.Node, dark(err))
 					return
 				}
 				p.state.Reachable(e.Node)
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -81,7 +81,6 @@
 	peers    *peers
 	announce *announcer
 	relay    *dogrelay.Handlers
-	gate     *doggate.Gate
 	dialect  Dialect
 	store    dogwoodford.Store
 	inFlight atomic.Int64
@@ -139,12 +138,12 @@
 	n.peers = &peers{transport: toAsk, state: n.state, store: store, configs: n.configs, log: n.log}
 	n.state.ask = n.peers.lives
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
-	n.gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: firstSlots, Rand: newRand(), KeepCalls: true}))
-	n.state.slots = n.gate.SetSlots
+	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: firstSlots, Rand: newRand(), KeepCalls: true}))
+	n.state.slots = gate.SetSlots
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
-		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: n.gate,
+		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: gate,
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand(), Mean: true})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(),
@@ -203,7 +202,7 @@
 // ready reports whether callers should use this node. One that is cut off from
 // the others could only serve what its own target serves.
 func (n *node) ready() bool {
-	return !n.state.isStopping() && n.configs.tables.Table() != nil && !n.state.isolated()
+	return !n.state.reached(notReady) && n.configs.tables.Table() != nil && !n.state.isolated()
 }
 
 // counted counts the requests in progress.
@@ -248,10 +247,10 @@
 // progress.
 func (n *node) stop(ctx context.Context) {
 	began := time.Now()
-	n.state.stop(false)
+	n.state.advance(notReady)
 	n.log.event(doglog.NodeDraining, slog.Int64("in_progress", n.inFlight.Load()))
 	dogserve.Pause(ctx, guardFor)
-	n.state.stop(true)
+	n.state.advance(guardClosed)
 	if err := n.announce.leave(ctx); err != nil {
 		n.log.event(doglog.PlatformConflict, slog.String("name", n.settings.Node), doglog.Err(err))
 	}
@@ -261,7 +260,7 @@
 			return
 		}
 		if time.Since(began) >= entryFor {
-			n.state.leave()
+			n.state.advance(entryClosed)
 		}
 		dogserve.Pause(ctx, stopPoll)
 	}
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -27,20 +27,28 @@
 	ask      func(e dogfleet.Entry) bool // Asks a node whether it lives.
 	slots    func(n int)                 // Tells the gate how much the target runs at once.
 
-	mu       sync.Mutex
-	fleet    *dogfleet.Fleet
-	silence  *dogfleet.Silence
-	alive    alive
-	checked  map[string]bool // Nodes whose silence a timer watches.
-	target   *dogtarget.Watch
-	last     dogwoodford.State // State of the target that was logged last.
-	budget   *dogbudget.Budget
-	stopping bool // The node answers that it is not ready.
-	closed   bool // The guard takes nothing new.
-	leaving  bool // The entry takes nothing new.
-	listed   bool // The entries in the store were read.
+	mu      sync.Mutex
+	fleet   *dogfleet.Fleet
+	silence *dogfleet.Silence
+	alive   alive
+	checked map[string]bool // Nodes whose silence a timer watches.
+	target  *dogtarget.Watch
+	last    dogwoodford.State // State of the target that was logged last.
+	budget  *dogbudget.Budget
+	stage   stage
+	listed  bool // The entries in the store were read.
 }
 
+// stage is how far a node is on its way to its end. Stages follow one another.
+type stage int
+
+const (
+	serving     stage = iota
+	notReady          // The node says that it is not ready.
+	guardClosed       // The guard takes nothing new.
+	entryClosed       // The entry takes nothing new.
+)
+
 func newState(s Settings, log *logger, version func() int64) *state {
 	return &state{
 		settings: s, log: log, version: version,
@@ -110,7 +118,7 @@
 func (s *state) Current() (dogtarget.Target, dogwoodford.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.stage >= guardClosed {
 		return dogtarget.Target{}, dogwoodford.ReasonDraining
 	}
 	t, ok := s.target.Current(time.Now())
@@ -226,39 +234,30 @@
 	if r, ok := s.target.Report(); ok {
 		e.Slots = r.Slots
 	}
-	if s.closed {
+	if s.stage >= guardClosed {
 		e.State = dogwoodford.Draining
 	}
 	return e
 }
 
-func (s *state) stop(guard bool) {
+// advance takes the node to a stage, unless it is past it.
+func (s *state) advance(to stage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
-	s.closed = s.closed || guard
-	s.wake()
+	if to > s.stage {
+		s.stage = to
+		s.wake()
+	}
 }
 
-// leave makes the entry refuse requests of callers.
-func (s *state) leave() {
+func (s *state) reached(st stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = true
+	return s.stage >= st
 }
 
 // Leaving implements dogrelay.Local.
-func (s *state) Leaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaving
-}
-
-func (s *state) isStopping() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stopping
-}
+func (s *state) Leaving() bool { return s.reached(entryClosed) }
 
 func (s *state) setListed() {
 	s.mu.Lock()
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -73,13 +73,7 @@
 	c.lineage = lineageOf(c, route, parent)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.call(ctx, c, route, parent)
-	finish := res.release
-	res.release = func() {
-		if finish != nil {
-			finish()
-		}
-		cancel()
-	}
+	res.onEnd(cancel)
 	return res, c
 }
 
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -67,11 +67,7 @@
 	h.cfg.Metrics.Observe(dogmetric.QueueDelay, start.Sub(entered))
 	running := h.running.add(c)
 	res := h.dispatch(ctx, c)
-	finish := res.release
-	res.release = func() {
-		if finish != nil {
-			finish()
-		}
+	res.onEnd(func() {
 		cancelled := ctx.Err() != nil
 		cancel()
 		h.running.remove(c.id, running)
@@ -80,7 +76,7 @@
 			Latency: time.Since(start), Children: children, Cancelled: cancelled || res.outcome == dogwoodford.NotRun,
 			Failed: res.outcome == dogwoodford.Unknown || res.status >= http.StatusInternalServerError,
 		})
-	}
+	})
 	_, res.childFailed = running.children(time.Now())
 	if res.body == nil || res.body.rest == nil {
 		res.end()
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -69,78 +69,90 @@
 // nodes are about the nodes themselves.
 func IsCall(r *http.Request) bool { return r.Header.Get(headerCall) != "" }
 
-// Fields of headerCall, separated by spaces. The last three are texts.
-const callFields = 11
+// callNumbers and callTexts are the numbers of fields of headerCall. They are
+// separated by spaces, numbers first.
+const (
+	callNumbers = 7
+	callTexts   = 4
+)
+
+// parseFields parses a header of fields that are separated by spaces: numbers
+// of at least 0, then texts.
+func parseFields(h http.Header, name string, numbers, texts int) ([]int64, []string, error) {
+	text := h.Get(name)
+	f := strings.Split(text, " ")
+	if len(f) != numbers+texts {
+		return nil, nil, fmt.Errorf("%s %q: %w", name, text, errPeerHeader)
+	}
+	n := make([]int64, numbers)
+	for i := range n {
+		var err error
+		if n[i], err = strconv.ParseInt(f[i], 10, 64); err != nil || n[i] < 0 {
+			return nil, nil, fmt.Errorf("%s %q: %w", name, text, errPeerHeader)
+		}
+	}
+	return n, f[numbers:], nil
+}
+
+// bit returns 1 for true.
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
 
 // formatCall writes what the guard needs to know of c.
 func (h *Handlers) formatCall(out http.Header, c *call, now time.Time) {
-	repeated := 0
-	if c.lineage.repeated {
-		repeated = 1
-	}
 	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
-		c.left(now), c.attempt, c.lineage.priority, c.lineage.hop, repeated, c.lineage.class, h.cfg.Peer, c.service,
+		c.left(now), c.attempt, c.lineage.priority, c.lineage.hop, bit(c.lineage.repeated), c.lineage.class, h.cfg.Peer, c.service,
 		c.caller)}
 }
 
 // parseCall reads what the entry said of a request.
 func (h *Handlers) parseCall(r *http.Request, now time.Time) (*call, error) {
-	text := r.Header.Get(headerCall)
-	f := strings.Split(text, " ")
-	if len(f) != callFields {
-		return nil, fmt.Errorf("%s %q: %w", headerCall, text, errPeerHeader)
-	}
-	var n [7]int64
-	for i := range n {
-		var err error
-		if n[i], err = strconv.ParseInt(f[i], 10, 64); err != nil || n[i] < 0 {
-			return nil, fmt.Errorf("%s %q: %w", headerCall, text, errPeerHeader)
-		}
+	n, f, err := parseFields(r.Header, headerCall, callNumbers, callTexts)
+	if err != nil {
+		return nil, err
 	}
 	id := r.Header.Get(h.cfg.Headers.Attempt)
-	h.cfg.Fleet.ConfigSeen(n[0], f[8])
+	h.cfg.Fleet.ConfigSeen(n[0], f[1])
 	root, _, _ := strings.Cut(id, idSeparator)
 	return &call{
-		id: id, service: f[9], caller: f[10], kind: dogtable.Kind(n[1]),
+		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
-		lineage: lineage{root: root, class: f[7], priority: int(n[4]), hop: int(n[5]), repeated: n[6] > 0},
+		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), repeated: n[6] > 0},
 	}, nil
 }
 
-// answerFields is the number of fields of headerAnswer, separated by spaces.
-const answerFields = 10
+// answerNumbers and answerTexts are the numbers of fields of headerAnswer.
+const (
+	answerNumbers = 9
+	answerTexts   = 1
+)
+
+// noReason stands for no reason in headerAnswer, whose fields are not empty.
+const noReason = "-"
 
 // formatAnswer writes what the entry needs to know of r.
 func formatAnswer(out http.Header, r *result, version int64) {
-	child := 0
-	if r.childFailed {
-		child = 1
-	}
 	reason := string(r.reason)
 	if reason == "" {
-		reason = "-"
+		reason = noReason
 	}
 	var l dogwoodford.Load
 	if r.load != nil {
 		l = *r.load
 	}
 	out[headerAnswer] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %d %s", version, int(r.outcome),
-		r.retryAfter.Milliseconds(), child, l.InFlight, l.Queued, l.Limit, int(l.Cutoff), int(r.below), reason)}
+		r.retryAfter.Milliseconds(), bit(r.childFailed), l.InFlight, l.Queued, l.Limit, int(l.Cutoff), int(r.below), reason)}
 }
 
 // parseAnswer reads what the guard said, and the version of its configuration.
 func parseAnswer(in http.Header) (*result, int64, error) {
-	text := in.Get(headerAnswer)
-	f := strings.Split(text, " ")
-	if len(f) != answerFields {
-		return nil, 0, fmt.Errorf("%s %q: %w", headerAnswer, text, errPeerHeader)
-	}
-	var n [answerFields - 1]int64
-	for i := range n {
-		var err error
-		if n[i], err = strconv.ParseInt(f[i], 10, 64); err != nil || n[i] < 0 {
-			return nil, 0, fmt.Errorf("%s %q: %w", headerAnswer, text, errPeerHeader)
-		}
+	n, f, err := parseFields(in, headerAnswer, answerNumbers, answerTexts)
+	if err != nil {
+		return nil, 0, err
 	}
 	r := &result{
 		outcome: dogwoodford.Outcome(n[1]), retryAfter: time.Duration(n[2]) * time.Millisecond, childFailed: n[3] > 0,
@@ -149,8 +161,8 @@
 		},
 		below: dogwoodford.Priority(n[8]),
 	}
-	if f[9] != "-" {
-		r.reason = dogwoodford.Reason(f[9])
+	if f[0] != noReason {
+		r.reason = dogwoodford.Reason(f[0])
 	}
 	return r, n[0], nil
 }
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,7 +25,7 @@
 
 	// The answer of the target, if outcome is Ran.
 	status  int
-	header  http.Header
+	header  http.Header // As endToEnd returns it.
 	body    *body
 	release func() // Called once the body was read; may be nil.
 }
@@ -47,6 +48,23 @@
 	}
 }
 
+// onEnd makes f follow what is done at the end of r.
+func (r *result) onEnd(f func()) {
+	before := r.release
+	r.release = func() {
+		if before != nil {
+			before()
+		}
+		f()
+	}
+}
+
+// targetFailed reports whether the target itself answered with a failure, and
+// not because of a call that it made.
+func (r *result) targetFailed() bool {
+	return r.outcome == dogwoodford.Ran && r.status >= http.StatusInternalServerError && !r.childFailed
+}
+
 // ownStatus returns the status of an answer that no target gave.
 func (r *result) ownStatus(ctx context.Context) int {
 	switch {
@@ -81,18 +99,14 @@
 		w.WriteHeader(status)
 		return
 	}
-	for k, v := range r.header {
-		if !dogcall.IsOwn(k) {
-			out[k] = v
-		}
-	}
-	r.writeBody(w)
+	r.writeAnswer(w)
 }
 
-// writeBody sends status and body. If the body breaks off, so does the
-// connection, as an answer that ends early must not look complete.
-func (r *result) writeBody(w http.ResponseWriter) {
+// writeAnswer sends the answer of the target. If the body breaks off, so does
+// the connection, as an answer that ends early must not look complete.
+func (r *result) writeAnswer(w http.ResponseWriter) {
 	out := w.Header()
+	maps.Copy(out, r.header)
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil // net/http would guess one.
 	}
@@ -124,10 +138,5 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	for k, v := range r.header {
-		if !dogcall.IsOwn(k) {
-			out[k] = v
-		}
-	}
-	r.writeBody(w)
+	r.writeAnswer(w)
 }
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -65,7 +65,7 @@
 
 // again reports whether a call may be sent to one more target.
 func (h *Handlers) again(ctx context.Context, c *call, route *dogtable.Route, res *result, reached int) bool {
-	if res.outcome == dogwoodford.Ran && (res.status < http.StatusInternalServerError || res.childFailed) {
+	if res.outcome == dogwoodford.Ran && !res.targetFailed() {
 		// What failed further down was tried again there, as far as it may be.
 		return false
 	}
@@ -91,9 +91,7 @@
 	} else {
 		res = h.remote(ctx, c, t)
 	}
-	failed := res.outcome == dogwoodford.Unknown ||
-		res.outcome == dogwoodford.Ran && res.status >= http.StatusInternalServerError && !res.childFailed ||
-		res.reason == dogwoodford.ReasonTargetShed
+	failed := res.outcome == dogwoodford.Unknown || res.targetFailed() || res.reason == dogwoodford.ReasonTargetShed
 	if ctx.Err() == context.Canceled {
 		failed = false // The caller left; that says nothing of the target.
 	}
@@ -121,13 +119,7 @@
 		return h.peerFailed(ctx, c, t, stage, err)
 	}
 	res := h.peerAnswered(ctx, c, t, resp)
-	finish := res.release
-	res.release = func() {
-		if finish != nil {
-			finish()
-		}
-		cancel()
-	}
+	res.onEnd(cancel)
 	return res
 }
 
