dogserve: answer requests that arrive while a listener shuts down

Cause: http.Server.Shutdown sets a flag, and a connection whose request is read after that is closed without an answer. A caller that had connected just before the end of a draining node's entry got EOF (TestGracefulStops, known red).

Ruled out: connections in the accept queue of the closed listener (they are reset, not ended), connections that Shutdown takes for idle, answers that break off between nodes (the log of the node shows no event).

Change: Shutdown closes the listener, waits until the requests in progress are answered and until connections without a request have been silent for half a second, and only then calls http.Server.Shutdown. Answers meanwhile ask for the end of the connection.

TestShutdownAnswers fails without the change.

--- a/io/process/dogserve/serve.go
+++ b/io/process/dogserve/serve.go
@@ -5,23 +5,48 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 )
 
+const (
+	// lingerTime is the time for which open connections without a request stay
+	// open after the listener has closed, as a request may be on its way.
+	lingerTime = 500 * time.Millisecond
+	// shutdownPoll is the interval at which Shutdown looks for requests in
+	// progress.
+	shutdownPoll = 10 * time.Millisecond
+)
+
 // Server is one listener with its handler. It implements suture.Service.
 type Server struct {
-	name string
-	addr string
-	srv  *http.Server
-	ln   net.Listener
+	name    string
+	addr    string
+	srv     *http.Server
+	ln      net.Listener
+	linger  time.Duration
+	closing atomic.Bool
+	accept  sync.WaitGroup // Runs while connections are accepted.
+	conns   conns
 }
 
 // New returns a server for addr, an IP address and port. name is used in
-// errors and in the supervisor's events.
+// errors and in the supervisor's events. It takes over srv.ConnState.
 func New(name, addr string, srv *http.Server) *Server {
-	return &Server{name: name, addr: addr, srv: srv}
+	s := &Server{name: name, addr: addr, srv: srv, linger: lingerTime}
+	s.conns.states = make(map[net.Conn]http.ConnState)
+	srv.ConnState = s.conns.changed
+	next := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	return s
 }
 
 // Listen opens the listener, so that a node with a taken address fails at its
@@ -39,10 +64,10 @@
 // progress.
 func (s *Server) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- s.srv.Serve(s.ln) }()
+	s.accept.Go(func() { failed <- s.srv.Serve(s.ln) })
 	select {
 	case err := <-failed:
-		if err == http.ErrServerClosed {
+		if s.closing.Load() {
 			return suture.ErrDoNotRestart
 		}
 		return fmt.Errorf("serve %s: %w", s.name, err)
@@ -52,9 +77,30 @@
 	}
 }
 
-// Shutdown closes the listener and waits for the requests in progress. The
-// error is that of ctx.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.Shutdown(ctx) }
+// Shutdown closes the listener and waits for the requests in progress and for
+// those that arrive on open connections within the linger time. The error is
+// that of ctx.
+//
+// http.Server.Shutdown alone closes a connection without an answer if it reads
+// a request from it after the call.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	_ = s.ln.Close() // It may have been closed before.
+	s.accept.Wait()  // From here on, conns has all connections.
+	tick := time.NewTicker(shutdownPoll)
+	defer tick.Stop()
+	for !s.conns.quiet(time.Now(), s.linger) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("shut down %s: %w", s.name, ctx.Err())
+		case <-tick.C:
+		}
+	}
+	if err := s.srv.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down %s: %w", s.name, err)
+	}
+	return nil
+}
 
 // String returns the name.
 func (s *Server) String() string { return s.name }
--- a/io/process/dogserve/serve_test.go
+++ b/io/process/dogserve/serve_test.go
@@ -1,6 +1,7 @@
 package dogserve
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -72,3 +73,65 @@
 		}
 	})
 }
+
+// TestShutdownAnswers guards against connections that are closed although a
+// request arrives on them while the server stops: one that was opened just
+// before, and one that has carried a request.
+func TestShutdownAnswers(t *testing.T) {
+	s := New("entry", "127.0.0.1:0", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})})
+	s.linger = time.Minute // Both connections end before.
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	addr := s.ln.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(t.Context()) }()
+	opened, kept := dial(t, addr), dial(t, addr)
+	if got := ask(t, kept); got.Close {
+		t.Error("a connection of a running server ends")
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	for refused := false; !refused; {
+		c, err := net.Dial("tcp", addr)
+		if refused = err != nil; !refused {
+			c.Close()
+		}
+	}
+	for name, c := range map[string]net.Conn{"opened": opened, "kept": kept} {
+		if got := ask(t, c); got.StatusCode != http.StatusNoContent || !got.Close {
+			t.Errorf("%s: status %d, close %v; want 204 and close", name, got.StatusCode, got.Close)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	if err := <-served; !errors.Is(err, suture.ErrDoNotRestart) {
+		t.Errorf("Serve returns %v", err)
+	}
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// ask sends a request on c and returns the answer.
+func ask(t *testing.T, c net.Conn) *http.Response {
+	t.Helper()
+	if _, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return resp
+}
