dogpace: let the calls to the store grow with the fleet, not with its square

Each of 89 watches of the entries ended at each of 89 entries written at the start, and each node asked for the configuration every 1.5 s.

Ruled out: stale reads at a tenth of the price (they lag by seconds while the store drops its history, and the configuration has two).

Change: after a change a watch pauses (1 s for entries, 0.2 s for the configuration), so that changes gather. The wait of the configuration's watch grows with the number of nodes, as nodes that exchange requests tell each other of newer versions; a node that hears little of others keeps 1.5 s. The watch of the entries is only checked after changes that the configuration does not explain. A watch that finds the history gone lists after a pause.

--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"dogwoodford"
 	"dogwoodford/core/version/dogtable"
@@ -45,8 +46,9 @@
 		slog.Int64("version", t.Version()), slog.Int("routes", len(spec.Routes)))
 }
 
-// watch follows the configuration in the store.
-func (c *configs) watch(store dogwoodford.Store) *kindWatch {
+// watch follows the configuration in the store. wait says how long each watch
+// waits.
+func (c *configs) watch(store dogwoodford.Store, wait func() time.Duration) *kindWatch {
 	kind, name := c.dialect.ConfigObject()
 	take := func(o dogwoodford.Object) {
 		if o.Name == name {
@@ -54,7 +56,7 @@
 		}
 	}
 	return &kindWatch{
-		kind: kind, wait: configWait, store: store, log: c.log,
+		kind: kind, wait: wait, pause: configPause, store: store, log: c.log,
 		listed: func(objects []dogwoodford.Object) {
 			for _, o := range objects {
 				take(o)
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -229,7 +229,7 @@
 		EventHook: func(e suture.Event) { n.log.event(doglog.ServiceRestarted, slog.String("event", e.String())) },
 		Timeout:   partTimeout,
 	})
-	config, entries := n.configs.watch(n.store), n.state.watchEntries(n.store)
+	config, entries := n.configs.watch(n.store, n.state.configWait), n.state.watchEntries(n.store)
 	config.seen = entries.check
 	sup.Add(config)
 	sup.Add(entries)
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -108,6 +108,8 @@
 	return s
 }
 
+func waitLong() time.Duration { return entriesWait }
+
 // TestWatchMissesChanges guards against a watch that goes on for ever after the
 // store has lost its changes: another answer of the store shows the revision.
 func TestWatchMissesChanges(t *testing.T) {
@@ -116,7 +118,7 @@
 		log := newLogger(io.Discard, "rounds-1")
 		defer log.close()
 		w := &kindWatch{
-			kind: "k", wait: entriesWait, store: f, log: log,
+			kind: "k", wait: waitLong, store: f, log: log,
 			listed: func([]dogwoodford.Object) {}, changed: func(dogwoodford.Change) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -152,7 +154,7 @@
 		log := newLogger(io.Discard, "rounds-1")
 		defer log.close()
 		w := &kindWatch{
-			kind: "k", wait: entriesWait, store: f, log: log,
+			kind: "k", wait: waitLong, store: f, log: log,
 			listed: func([]dogwoodford.Object) {}, changed: func(dogwoodford.Change) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -8,6 +8,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogbudget"
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogpace"
 	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/io/process/doglog"
 )
@@ -35,6 +36,7 @@
 	target  *dogtarget.Watch
 	last    dogwoodford.State // State of the target that was logged last.
 	budget  *dogbudget.Budget
+	pace    *dogpace.Pace
 	stage   stage
 	listed  bool // The entries in the store were read.
 }
@@ -58,6 +60,7 @@
 			Service: s.Service, Address: s.Target, Silence: silentBeats * s.Heartbeat,
 		}),
 		budget: dogbudget.New(budgetOptions(s)),
+		pace:   dogpace.New(dogpace.Options{Least: configWait, Rand: newRand()}),
 	}
 }
 
@@ -193,6 +196,9 @@
 
 // ConfigSeen implements dogrelay.Fleet.
 func (s *state) ConfigSeen(version int64, peer string) {
+	s.mu.Lock()
+	s.pace.Heard()
+	s.mu.Unlock()
 	if version <= s.version() {
 		return
 	}
@@ -202,6 +208,13 @@
 	}
 }
 
+// configWait returns how long the next watch of the configuration waits.
+func (s *state) configWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pace.Wait(time.Now(), s.fleet.Len())
+}
+
 // First implements dogrelay.Budget.
 func (s *state) First(service string) {
 	s.mu.Lock()
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -88,7 +88,7 @@
 		s.put(e, o.Version)
 	}
 	return &kindWatch{
-		kind: targetKind, wait: entriesWait, store: store, log: s.log,
+		kind: targetKind, wait: func() time.Duration { return entriesWait }, pause: entriesPause, store: store, log: s.log,
 		listed: func(objects []dogwoodford.Object) {
 			names := make([]string, 0, len(objects))
 			for _, o := range objects {
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -15,12 +15,18 @@
 
 const (
 	// configWait is the time after which a watch of the configuration without
-	// a change returns. A watch that lost its changes in the store never
-	// answers, and a configuration must be in force within two seconds.
+	// a change returns, at a node that hears little of others. A watch that
+	// lost its changes in the store never answers, and a configuration must be
+	// in force within two seconds.
 	configWait = 1500 * time.Millisecond
 	// entriesWait is the same for the entries of nodes. A longer wait saves
 	// calls; the answers of the other watch show that changes were missed.
 	entriesWait = 20 * time.Second
+	// configPause and entriesPause are the times from a change to the next
+	// watch, in which further changes gather. Without them, nodes that start
+	// together would each make a call for the entry of each other one.
+	configPause  = 200 * time.Millisecond
+	entriesPause = time.Second
 	// listTimeout bounds a list, which answers in milliseconds.
 	listTimeout = 1500 * time.Millisecond
 	// watchRetry is the pause after a failed call. It doubles up to
@@ -33,14 +39,15 @@
 // kindWatch follows the objects of one kind.
 type kindWatch struct {
 	kind  string
-	wait  time.Duration
+	wait  func() time.Duration // How long the next watch waits for a change.
+	pause time.Duration        // From a change to the next watch.
 	store dogwoodford.Store
 	log   *logger
 	// listed takes all objects, changed one change.
 	listed  func([]dogwoodford.Object)
 	changed func(dogwoodford.Change)
-	// seen, if set, takes the revision of the store after each answer without
-	// a change.
+	// seen, if set, takes the revision of the store after an answer that shows
+	// changes of other kinds.
 	seen func(revision int64)
 
 	mu      sync.Mutex
@@ -60,9 +67,6 @@
 			break
 		}
 		w.failed(err)
-		if errors.Is(err, dogwoodford.ErrCompacted) {
-			continue
-		}
 		dogserve.Pause(ctx, pause)
 		pause = min(2*pause, watchRetryMost)
 	}
@@ -88,7 +92,7 @@
 	w.setRestart(stop)
 	defer w.setRestart(nil)
 	for ctx.Err() == nil {
-		changes, next, err := w.store.Watch(ctx, w.kind, w.after.Load(), w.wait)
+		changes, next, err := w.store.Watch(ctx, w.kind, w.after.Load(), w.wait())
 		if err != nil && ctx.Err() != nil {
 			return nil // Ended by check.
 		}
@@ -99,10 +103,13 @@
 		for _, c := range changes {
 			w.changed(c)
 		}
-		w.after.Store(next)
-		if len(changes) == 0 && w.seen != nil {
+		before := w.after.Swap(next)
+		if len(changes) == 0 && next > before && w.seen != nil {
 			w.seen(next)
 		}
+		if len(changes) > 0 {
+			dogserve.Pause(ctx, w.pause)
+		}
 	}
 	return nil
 }
