dogcrash: refuse requests that crash the targets that run them

Cause: on the platform no node recognised a request that crashes each target that begins to run it.

Ruled out: dogsuspect, which isolates suspects. On the platform the contents are few and popular, so that a crash with fifty requests in progress would let most of the traffic run one at a time.

Change: a guard remembers what was in progress, or broke within 5 s, when its target refuses connections or comes back as another start. What no target is known to have completed goes into the node's entry in the store, which all nodes watch. After three crashes nodes refuse the content as not run for ten minutes, unless they see it complete. Entries send the digest of the content with the request.

Before: no recognition.

--- /dev/null
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -0,0 +1,148 @@
+package dogcrash
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the scripts of testdata. Each line has the second, the node,
+// what happens there, and what follows; all nodes hear of each report at once.
+func TestScripts(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/crashes.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range ar.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			s := newScript()
+			var got strings.Builder
+			for line := range strings.Lines(string(f.Data)) {
+				step, _, _ := strings.Cut(strings.TrimSpace(line), " -> ")
+				got.WriteString(step)
+				if out := s.run(t, strings.Fields(step)); out != "" {
+					got.WriteString(" -> " + out)
+				}
+				got.WriteString("\n")
+			}
+			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+				t.Errorf("mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// script is a fleet of nodes.
+type script struct {
+	guards map[string]*Guard
+	tables map[string]*Table
+}
+
+func newScript() *script {
+	s := &script{guards: make(map[string]*Guard), tables: make(map[string]*Table)}
+	for _, n := range []string{"a", "b", "c", "d"} {
+		s.guards[n], s.tables[n] = NewGuard(n), NewTable()
+	}
+	return s
+}
+
+func (s *script) run(t *testing.T, w []string) string {
+	t.Helper()
+	second, err := strconv.ParseFloat(w[0], 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := start.Add(time.Duration(second * float64(time.Second)))
+	node, digest := w[1], uint64(0)
+	if len(w) > 3 {
+		if digest, err = strconv.ParseUint(w[3], 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	id := fmt.Sprint(node, digest)
+	switch w[2] {
+	case "starts":
+		s.guards[node].Start(id, digest)
+	case "breaks":
+		s.guards[node].End(now, id, true)
+	case "completes":
+		s.guards[node].End(now, id, false)
+		s.tables[node].Completed(digest)
+	case "crashes":
+		return s.crash(now, node)
+	case "asks":
+		if s.tables[node].Quarantined(now, digest) > 0 {
+			return "quarantined"
+		}
+		return "free"
+	default:
+		t.Fatalf("unknown step %v", w)
+	}
+	return ""
+}
+
+func (s *script) crash(now time.Time, node string) string {
+	r, ok := s.guards[node].Crashed(now)
+	if r = s.tables[node].Unknown(r); !ok || len(r.Digests) == 0 {
+		return "nothing"
+	}
+	for _, t := range s.tables {
+		t.Report(now, r)
+		t.Report(now, r) // The entry of a node is seen more than once.
+	}
+	return fmt.Sprint(r.ID, " ", r.Digests)
+}
+
+// TestBounds guards against a table that grows with each crash and content.
+func TestBounds(t *testing.T) {
+	tab := NewTable()
+	for i := range 4 * maxReports {
+		now := start.Add(time.Duration(i) * 10 * time.Second)
+		tab.Report(now, Report{ID: fmt.Sprint(i), Digests: []uint64{uint64(i + 1)}})
+		tab.Completed(uint64(i + 1))
+	}
+	most := int(quarantineTime/(10*time.Second)) + 1
+	if len(tab.reports) > most || len(tab.order) > most || len(tab.counts) > most {
+		t.Errorf("%d reports, %d contents, want at most %d", len(tab.reports), len(tab.counts), most)
+	}
+	for i := range 2 * maxCompleted {
+		tab.Completed(uint64(i + 1))
+	}
+	if n := len(tab.completed) + len(tab.before); n > maxCompleted {
+		t.Errorf("%d completed contents, want at most %d", n, maxCompleted)
+	}
+}
+
+func ExampleTable() {
+	t := NewTable()
+	for _, id := range []string{"rounds-1/1", "rounds-2/1", "rounds-3/1"} {
+		t.Report(start, Report{ID: id, Digests: []uint64{7}})
+	}
+	fmt.Println(t.Quarantined(start, 7), t.Quarantined(start, 8))
+	// Output: 10m0s 0s
+}
+
+func BenchmarkGuard(b *testing.B) {
+	for _, running := range []int{16, 200} {
+		b.Run(fmt.Sprintf("running=%d", running), func(b *testing.B) {
+			g := NewGuard("a")
+			ids := make([]string, running)
+			for i := range ids {
+				ids[i] = fmt.Sprint(i)
+				g.Start(ids[i], uint64(i+1))
+			}
+			for i := 0; b.Loop(); i++ {
+				id := ids[i%running]
+				g.End(start, id, false)
+				g.Start(id, uint64(i+1))
+			}
+		})
+	}
+}
--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
 )
 
 const (
@@ -28,6 +29,15 @@
 	Peer       string            `json:"peer"` // IP address and port for other nodes.
 	State      dogwoodford.State `json:"state"`
 	Slots      int               `json:"slots"`
+	// Crashes are the latest crashes of the node's target.
+	Crashes []dogcrash.Report `json:"crashes,omitempty"`
+}
+
+// Equal reports whether e and other say the same.
+func (e Entry) Equal(other Entry) bool {
+	return e.Node == other.Node && e.Service == other.Service && e.DataCentre == other.DataCentre &&
+		e.Peer == other.Peer && e.State == other.State && e.Slots == other.Slots &&
+		slices.EqualFunc(e.Crashes, other.Crashes, dogcrash.Report.Equal)
 }
 
 // Fleet is the view of one node. It is not safe for concurrent use.
--- a/io/process/dogsidecar/announce.go
+++ b/io/process/dogsidecar/announce.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	have, version := a.state.own()
-	if version > 0 && have == want {
+	if version > 0 && have.Equal(want) {
 		return nil
 	}
 	value, err := json.Marshal(want)
--- /dev/null
+++ b/io/process/dogsidecar/crash_test.go
@@ -0,0 +1,70 @@
+package dogsidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
+	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogtarget"
+)
+
+// TestTargetCrashes guards against contents that crash one target after another
+// because no node tells of it, and against planned ends that count as crashes.
+func TestTargetCrashes(t *testing.T) {
+	beat := dogtarget.Report{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4}
+	again := beat
+	again.Born = 200
+	draining := beat
+	draining.Draining, draining.Sequence = true, 2
+	for _, tc := range []struct {
+		name string
+		end  func(s *state)
+		want [][]uint64
+	}{
+		{"refuses connections", func(s *state) { s.Lost("i-1"); s.Lost("i-1") }, [][]uint64{{7, 8}}},
+		{"was started again", func(s *state) { s.Beat(again) }, [][]uint64{{7, 8}}},
+		{"both", func(s *state) { s.Lost("i-1"); s.Beat(again) }, [][]uint64{{7, 8}}},
+		{"drained", func(s *state) { s.Beat(draining); s.Lost("i-1"); s.Beat(again) }, nil},
+		{"left", func(s *state) { s.Leave("i-1"); s.Beat(again) }, nil},
+	} {
+		s := testState(t, func() int64 { return 1 })
+		s.Beat(beat)
+		s.Started("a", 7)
+		s.Started("b", 8)
+		s.Started("c", 9)
+		s.Completed(9)
+		s.Ended("a", true)
+		tc.end(s)
+		var got [][]uint64
+		for _, r := range s.entry().Crashes {
+			got = append(got, r.Digests)
+		}
+		if diff := cmp.Diff(tc.want, got); diff != "" {
+			t.Errorf("%s: reported crashes (-want +got):\n%s", tc.name, diff)
+		}
+	}
+}
+
+// TestQuarantine guards against a content that crashed three targets and is not
+// refused, or is before that.
+func TestQuarantine(t *testing.T) {
+	s := testState(t, func() int64 { return 1 })
+	for i, node := range []string{"rounds-2", "rounds-3", "rounds-4"} {
+		if left := s.Quarantined(7); left != 0 {
+			t.Errorf("quarantined for %v after %d crashes", left, i)
+		}
+		e := dogfleet.Entry{
+			Node: node, Service: "rounds", State: dogwoodford.Ready,
+			Crashes: []dogcrash.Report{{ID: node + "/1", Digests: []uint64{7}}},
+		}
+		s.put(e, int64(2*i+1))
+		s.put(e, int64(2*i+2))
+	}
+	if left := s.Quarantined(7); left < time.Minute {
+		t.Errorf("quarantined for %v, want minutes", left)
+	}
+}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -143,7 +143,7 @@
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
-		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Gate: gate,
+		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Crashes: n.state, Gate: gate,
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{Rand: newRand(), Mean: true})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(),
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -1,12 +1,15 @@
 package dogsidecar
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogbudget"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/core/process/dogpace"
 	"dogwoodford/core/process/dogtarget"
@@ -37,6 +40,7 @@
 	last    dogwoodford.State // State of the target that was logged last.
 	budget  *dogbudget.Budget
 	pace    *dogpace.Pace
+	crashes crashes
 	stage   stage
 	listed  bool // The entries in the store were read.
 }
@@ -61,13 +65,21 @@
 		}),
 		budget: dogbudget.New(budgetOptions(s)),
 		pace:   dogpace.New(dogpace.Options{Least: configWait, Rand: newRand()}),
+		crashes: crashes{
+			guard: dogcrash.NewGuard(fmt.Sprint(s.Node, "/", time.Now().UnixMilli())), table: dogcrash.NewTable(),
+		},
 	}
 }
 
 // Beat implements Beats.
 func (s *state) Beat(r dogtarget.Report) dogtarget.Effect {
 	s.mu.Lock()
+	before, known := s.target.Report()
+	wasReady := s.target.State(time.Now()) == dogwoodford.Ready
 	e := s.target.Observe(time.Now(), r)
+	if e == dogtarget.Accepted && known && wasReady && (before.ID != r.ID || before.Born != r.Born) {
+		s.targetCrashed()
+	}
 	s.noteTarget()
 	s.mu.Unlock()
 	if e == dogtarget.Accepted {
@@ -146,7 +158,11 @@
 func (s *state) Lost(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	wasReady := s.target.State(time.Now()) == dogwoodford.Ready
 	s.target.Lost(id)
+	if wasReady && s.target.State(time.Now()) == dogwoodford.Failed {
+		s.targetCrashed()
+	}
 	s.noteTarget()
 }
 
@@ -247,6 +263,7 @@
 	if r, ok := s.target.Report(); ok {
 		e.Slots = r.Slots
 	}
+	e.Crashes = slices.Clone(s.crashes.own)
 	if s.stage >= guardClosed {
 		e.State = dogwoodford.Draining
 	}
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/request/dogdigest"
 	"dogwoodford/core/version/dogtable"
 )
 
@@ -20,6 +21,7 @@
 	deadline time.Time
 	source   *http.Request // Method, URL, host and headers of the caller.
 	body     *body
+	digest   uint64 // Content: caller, method, path and the start of the body.
 }
 
 // request returns the call as the decisions on admission and routing see it.
@@ -49,5 +51,15 @@
 	return out.WithContext(ctx)
 }
 
+// positive keeps the bits of a digest that fit a number between nodes.
+const positive = 1<<63 - 1
+
+// digestOf returns the digest of the content of a request.
+func digestOf(caller string, r *http.Request, b *body) uint64 {
+	d := dogdigest.New("", caller, r.Method, r.URL.RequestURI())
+	_, _ = d.Write(b.kept) // Never fails.
+	return d.Sum64() & positive
+}
+
 // left returns the milliseconds until the deadline, at least 0.
 func (c *call) left(now time.Time) int64 { return max(0, c.deadline.Sub(now).Milliseconds()) }
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -62,6 +62,20 @@
 	Leaving() bool
 }
 
+// Crashes finds requests that crash targets. Implementations are safe for
+// concurrent use.
+type Crashes interface {
+	// Started records that a request with this content is sent to the own
+	// target, and Ended its end. unanswered tells that its connection broke.
+	Started(id string, digest uint64)
+	Ended(id string, unanswered bool)
+	// Completed records that a target completed a content.
+	Completed(digest uint64)
+	// Quarantined returns how much longer a content is refused, 0 if it is
+	// not.
+	Quarantined(digest uint64) time.Duration
+}
+
 // Budget bounds further attempts. Implementations are safe for concurrent use.
 type Budget interface {
 	// First records the first attempt of a request for a service.
@@ -103,6 +117,7 @@
 	Fleet         Fleet
 	Local         Local
 	Budget        Budget
+	Crashes       Crashes
 	Pressure      Pressure
 	Gate          *doggate.Gate
 	Router        *doggate.Balancer
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -71,8 +71,15 @@
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
 	c.lineage = lineageOf(c, route, parent)
+	c.digest = digestOf(c.caller, r, b)
+	if left := h.cfg.Crashes.Quarantined(c.digest); left > 0 {
+		return refused(dogwoodford.ReasonQuarantined, left), c
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.call(ctx, c, route, parent)
+	if res.outcome == dogwoodford.Ran {
+		h.cfg.Crashes.Completed(c.digest)
+	}
 	res.onEnd(cancel)
 	return res, c
 }
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -145,6 +145,9 @@
 	repeats int
 	lost    []string
 	gone    []string // Unreachable nodes.
+	broken  []string // Requests whose connection broke.
+	barred  uint64   // Quarantined content.
+	done    []uint64 // Contents that completed.
 }
 
 func (w *world) Targets() []dogwoodford.Target { return w.targets }
@@ -179,6 +182,29 @@
 	w.lost, w.reason = append(w.lost, id), dogwoodford.ReasonNoTarget
 }
 
+func (w *world) Started(string, uint64) {}
+
+func (w *world) Ended(id string, unanswered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if unanswered {
+		w.broken = append(w.broken, id)
+	}
+}
+
+func (w *world) Completed(digest uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = append(w.done, digest)
+}
+
+func (w *world) Quarantined(digest uint64) time.Duration {
+	if w.barred != 0 && w.barred == digest {
+		return time.Minute
+	}
+	return 0
+}
+
 func (w *world) Repeat(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -252,7 +278,7 @@
 	rnd := rand.New(rand.NewPCG(1, 2))
 	n.relay = New(Config{
 		Headers: names, Node: name, Service: service, DataCentre: "dc", Peer: "127.0.0.1:1",
-		TargetAddress: n.target.addr, Tables: &tables, Split: dogtable.NewSplit(), Fleet: n, Local: n, Budget: n,
+		TargetAddress: n.target.addr, Tables: &tables, Split: dogtable.NewSplit(), Fleet: n, Local: n, Budget: n, Crashes: n,
 		Pressure: n, Gate: doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 4, Rand: rnd})),
 		Router: doggate.NewBalancer(inOrder{}), Peers: dogconn.NewPeer(dogconn.Options{}),
 		Target: dogconn.NewTarget(dogconn.Options{}), Log: n, Metrics: dogmetric.NewSet(),
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -91,6 +91,9 @@
 	if reason != dogwoodford.ReasonNone {
 		return refused(reason, 0)
 	}
+	if left := h.cfg.Crashes.Quarantined(c.digest); left > 0 {
+		return refused(dogwoodford.ReasonQuarantined, left)
+	}
 	now := time.Now()
 	if !now.Before(c.deadline) {
 		return refused(dogwoodford.ReasonDeadline, 0)
@@ -106,11 +109,18 @@
 	out.Header[h.cfg.Headers.Deadline] = []string{strconv.FormatInt(max(1, c.left(now)), 10)}
 	out.Header[h.cfg.Headers.ExpectInstance] = []string{t.ID}
 	out.Header[h.cfg.Headers.Caller] = []string{c.caller}
+	h.cfg.Crashes.Started(c.id, c.digest)
 	resp, stage, err := h.cfg.Target.Do(out)
 	if err != nil {
+		h.cfg.Crashes.Ended(c.id, stage == dogoutcome.Written && ctx.Err() == nil)
 		return h.unanswered(ctx, c, t, stage, err)
 	}
-	return h.answered(ctx, c, t, resp)
+	res := h.answered(ctx, c, t, resp)
+	h.cfg.Crashes.Ended(c.id, res.outcome == dogwoodford.Unknown)
+	if res.outcome == dogwoodford.Ran {
+		h.cfg.Crashes.Completed(c.digest)
+	}
+	return res
 }
 
 // unanswered is the result of a call without an answer.
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -72,7 +72,7 @@
 // callNumbers and callTexts are the numbers of fields of headerCall. They are
 // separated by spaces, numbers first.
 const (
-	callNumbers = 7
+	callNumbers = 8
 	callTexts   = 4
 )
 
@@ -104,9 +104,9 @@
 
 // formatCall writes what the guard needs to know of c.
 func (h *Handlers) formatCall(out http.Header, c *call, now time.Time) {
-	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
-		c.left(now), c.attempt, c.lineage.priority, c.lineage.hop, bit(c.lineage.repeated), c.lineage.class, h.cfg.Peer, c.service,
-		c.caller)}
+	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
+		c.left(now), c.attempt, c.lineage.priority, c.lineage.hop, bit(c.lineage.repeated), c.digest, c.lineage.class, h.cfg.Peer,
+		c.service, c.caller)}
 }
 
 // parseCall reads what the entry said of a request.
@@ -122,6 +122,7 @@
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
 		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), repeated: n[6] > 0},
+		digest:  uint64(n[7]),
 	}, nil
 }
 
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -160,6 +160,40 @@
 	}
 }
 
+// TestCrashes guards against contents that crash targets and are not told from
+// those that complete, and against quarantined ones that run all the same.
+func TestCrashes(t *testing.T) {
+	for script, want := range map[string][2]int{"reset": {1, 0}, "garbage": {1, 0}, "ok": {0, 1}, "shed": {0, 0}, "refuse": {0, 0}} {
+		entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+		guard := newTestNode(t, "guard", "rounds", script, time.Second)
+		entry.knows(guard)
+		if _, _, _, err := ask(t, entry, "upload", "a1", "payload"); err != nil {
+			t.Fatal(err)
+		}
+		if got := [2]int{len(guard.broken), len(guard.done)}; got != want {
+			t.Errorf("%s: broken and completed %v, want %v", script, got, want)
+		}
+		if len(entry.done) != want[1] {
+			t.Errorf("%s: the entry knows of %d completed, want %d", script, len(entry.done), want[1])
+		}
+		if script != "ok" {
+			continue
+		}
+		guard.barred = guard.done[0]
+		status, h, _, err := ask(t, entry, "upload", "a2", "payload")
+		if err != nil || status != http.StatusServiceUnavailable || h.Get(dogcall.HeaderReason) != string(dogwoodford.ReasonQuarantined) {
+			t.Errorf("quarantined at the guard: status %d %v, error %v; want 503", status, h, err)
+		}
+		entry.barred, guard.barred = guard.barred, 0
+		if status, _, _, err := ask(t, entry, "upload", "a3", "payload"); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("quarantined at the entry: status %d, error %v; want 503", status, err)
+		}
+		if guard.target.count() != 1 {
+			t.Errorf("the target ran %d requests, want 1", guard.target.count())
+		}
+	}
+}
+
 // TestGuardOfAnotherService guards against requests that run at a service that
 // took over the address of a node.
 func TestGuardOfAnotherService(t *testing.T) {
@@ -180,6 +214,7 @@
 		id: "a1.b2", service: "rounds", caller: "billing", kind: dogtable.Upload, attempt: 2,
 		deadline: now.Add(300 * time.Millisecond),
 		lineage:  lineage{root: "a1", class: "sheet", priority: 5, hop: 1, repeated: true},
+		digest:   1<<63 - 1,
 	}
 	r, err := http.NewRequest("GET", "http://h/", nil)
 	if err != nil {
@@ -212,7 +247,7 @@
 
 // FuzzParseCall guards against headers of other nodes that crash a guard.
 func FuzzParseCall(f *testing.F) {
-	f.Add("1 1 300 1 2 0 0 sheet 10.0.0.1:1 rounds billing")
+	f.Add("1 1 300 1 2 0 0 9 sheet 10.0.0.1:1 rounds billing")
 	f.Add("")
 	h := New(Config{Headers: names, Fleet: &world{}})
 	f.Fuzz(func(_ *testing.T, text string) {
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -75,6 +75,9 @@
 	if res.outcome != dogwoodford.NotRun && c.kind != dogtable.Idempotent {
 		return false
 	}
+	if res.reason == dogwoodford.ReasonQuarantined {
+		return false // Other guards know of the crashes too.
+	}
 	if !res.arrived {
 		return true // A further guard costs no target anything.
 	}
