dogbudget: bound further attempts by level of the call tree

Cause: each level of a call tree could use a quarter of the retry budget, at every service alike.

Ruled out: one common share without a bound for callers' requests (each of their attempts repeats all calls beneath); a larger part of the constant (a further attempt leads to up to five calls of one service, so that the constant of the service above counts that often beneath).

Change: requests of callers may use 0.4 of the ratio, all further attempts of a node together 0.6, and a tenth of the constant. TestTree replaces TestAllNodes: it fails every attempt of a tree four levels deep at 13, 17 and 89 nodes and holds each service to the whole budget of the users in each window of 10 s, where TestAllNodes held one service to the share of the code.

After: none above the bound.

--- a/core/process/dogbudget/budget.go
+++ b/core/process/dogbudget/budget.go
@@ -6,10 +6,21 @@
 // counts whole, so that the count covers a little more than the window.
 const buckets = 10
 
-// ownShare is the part of the budget that one level of a call tree may use.
 // The calls of a request that runs again count as further attempts at all
-// services beneath it, and trees are four levels deep.
-const ownShare = 0.25
+// services beneath it. A service beneath gets the same part of its budget from
+// above as the service above has used of its own, so a common bound at all
+// levels holds at each of them.
+const (
+	// rootShare is the part of the ratio that requests of callers may use. It
+	// leaves room for attempts further down, which repeat less work.
+	rootShare = 0.4
+	// totalShare is the part of the ratio that further attempts of all kinds
+	// may use. The rest covers windows that lie otherwise than the node's.
+	totalShare = 0.6
+	// slackShare is the part of the constant that may be used. A further
+	// attempt at one service leads to several calls of another.
+	slackShare = 0.1
+)
 
 // Options are the settings of a Budget. All are required.
 type Options struct {
@@ -27,8 +38,14 @@
 
 type window struct {
 	start  time.Time // Start of the newest bucket.
-	first  [buckets + 1]int
-	repeat [buckets + 1]int
+	counts [buckets + 1]counts
+}
+
+// counts are the numbers of one bucket.
+type counts struct {
+	first  int // Requests.
+	repeat int // Further attempts.
+	roots  int // Further attempts of requests of callers.
 }
 
 // New returns an empty budget.
@@ -43,25 +60,33 @@
 }
 
 // First records the first attempt of a request.
-func (b *Budget) First(now time.Time, service string) { b.window(now, service).first[0]++ }
+func (b *Budget) First(now time.Time, service string) { b.window(now, service).counts[0].first++ }
 
 // Repeat records a further attempt that follows from one at another service.
-func (b *Budget) Repeat(now time.Time, service string) { b.window(now, service).repeat[0]++ }
+func (b *Budget) Repeat(now time.Time, service string) { b.window(now, service).counts[0].repeat++ }
 
 // Allow reports whether one more attempt is within this node's share among
-// the given number of nodes, and records it if so.
-func (b *Budget) Allow(now time.Time, service string, nodes int) bool {
+// the given number of nodes, and records it if so. root tells that the request
+// is one of a caller and not a call of another request.
+func (b *Budget) Allow(now time.Time, service string, nodes int, root bool) bool {
 	w := b.window(now, service)
-	first, repeat := 0, 0
-	for i := range w.first {
-		first += w.first[i]
-		repeat += w.repeat[i]
+	var sum counts
+	for _, c := range w.counts {
+		sum.first += c.first
+		sum.repeat += c.repeat
+		sum.roots += c.roots
 	}
-	allowed := ownShare * (b.opts.Ratio*float64(first) + b.opts.Slack/float64(max(1, nodes)))
-	if float64(repeat+1) > allowed {
+	ratio, slack := b.opts.Ratio*float64(sum.first), slackShare*b.opts.Slack/float64(max(1, nodes))
+	if float64(sum.repeat+1) > totalShare*ratio+slack {
 		return false
 	}
-	w.repeat[0]++
+	if root {
+		if float64(sum.roots+1) > rootShare*ratio+slack {
+			return false
+		}
+		w.counts[0].roots++
+	}
+	w.counts[0].repeat++
 	return true
 }
 
@@ -78,9 +103,8 @@
 			*w = window{start: now}
 			break
 		}
-		copy(w.first[1:], w.first[:])
-		copy(w.repeat[1:], w.repeat[:])
-		w.first[0], w.repeat[0] = 0, 0
+		copy(w.counts[1:], w.counts[:])
+		w.counts[0] = counts{}
 		w.start = w.start.Add(step)
 	}
 	return w
--- a/core/process/dogbudget/budget_test.go
+++ b/core/process/dogbudget/budget_test.go
@@ -8,41 +8,106 @@
 
 var options = Options{Ratio: 0.2, Slack: 48, Window: 10 * time.Second}
 
-// TestAllNodes guards against further attempts of many nodes that together
-// exceed the budget in some window: 13 nodes ask for one after each request,
-// and two levels of the tree above repeat as much as they may.
-func TestAllNodes(t *testing.T) {
-	const nodes, seconds, perSecond = 13, 40, 12
-	var budgets []*Budget
-	for range nodes {
-		budgets = append(budgets, New(options))
+// tree is the call tree of TestTree: each run of a service makes so many calls
+// of the next one.
+var tree = []struct {
+	service string
+	calls   int
+}{{"rounds", 1}, {"billing", 1}, {"evidence", 4}, {"depot", 0}}
+
+// fleet is a number of nodes that repeat as much as they may.
+type fleet struct {
+	budgets []*Budget
+	now     time.Time
+	next    int
+	first   map[string]int // Counts of the present second.
+	repeat  map[string]int
+}
+
+// run sends one request to a level of the tree through some node, and once more
+// to another target if the budget permits.
+func (f *fleet) run(level int, repeated bool) {
+	service := tree[level].service
+	b := f.budgets[f.next%len(f.budgets)]
+	f.next++
+	if repeated {
+		b.Repeat(f.now, service)
+		f.repeat[service]++
+	} else {
+		b.First(f.now, service)
+		f.first[service]++
 	}
-	var first, repeat [seconds]int
-	now := time.Unix(0, 0)
-	for s := range seconds {
-		for i := range perSecond {
-			at := now.Add(time.Duration(s)*time.Second + time.Duration(i)*time.Second/perSecond)
-			for _, b := range budgets {
-				b.First(at, "depot")
-				first[s]++
-				if b.Allow(at, "depot", nodes) {
-					repeat[s]++
-				}
-			}
+	for range tree[level].calls {
+		f.run(level+1, repeated)
+	}
+	if b.Allow(f.now, service, len(f.budgets), level == 0) {
+		f.repeat[service]++
+		for range tree[level].calls {
+			f.run(level+1, true)
 		}
 	}
-	for s := 0; s+10 <= seconds; s++ {
-		f, r := 0, 0
-		for i := s; i < s+10; i++ {
-			f += first[i]
-			r += repeat[i]
+}
+
+// TestTree guards against further attempts that together exceed the budget of a
+// service in some window. Pattern: every target of a call tree four levels deep
+// fails, so that each node asks for one more attempt after each.
+func TestTree(t *testing.T) {
+	for _, tc := range []struct {
+		nodes, perSecond int
+		slack            float64
+	}{{13, 85, 48}, {89, 830, 118}, {17, 8, 48}} {
+		f := &fleet{now: time.Unix(0, 0)}
+		for range tc.nodes {
+			o := options
+			o.Slack = tc.slack
+			f.budgets = append(f.budgets, New(o))
+		}
+		const seconds = 40
+		var first, repeat [seconds]map[string]int
+		for s := range seconds {
+			first[s], repeat[s] = make(map[string]int), make(map[string]int)
+			f.first, f.repeat = first[s], repeat[s]
+			for i := range tc.perSecond {
+				f.now = time.Unix(int64(s), int64(i)*int64(time.Second)/int64(tc.perSecond))
+				f.run(0, false)
+			}
 		}
-		if most := ownShare * (options.Ratio*float64(f) + options.Slack); float64(r) > most*1.1 {
-			t.Errorf("window at %d s: %d further attempts for %d requests, want at most %.0f", s, r, f, most)
+		for _, level := range tree {
+			for s := 0; s+10 <= seconds; s++ {
+				requests, attempts := 0, 0
+				for i := s; i < s+10; i++ {
+					requests += first[i][level.service]
+					attempts += repeat[i][level.service]
+				}
+				if most := options.Ratio*float64(requests) + tc.slack; float64(attempts) > most {
+					t.Errorf("%d nodes, window at %d s: %d further attempts at %s for %d requests, want at most %.0f",
+						tc.nodes, s, attempts, level.service, requests, most)
+				}
+			}
 		}
 	}
 }
 
+// TestRootShare guards against requests of callers that use up the budget of a
+// service, so that nothing is left for calls, whose repeats cost less.
+func TestRootShare(t *testing.T) {
+	b := New(options)
+	now := time.Unix(0, 0)
+	for range 1000 {
+		b.First(now, "billing")
+	}
+	roots, calls := 0, 0
+	for b.Allow(now, "billing", 13, true) {
+		roots++
+	}
+	for b.Allow(now, "billing", 13, false) {
+		calls++
+	}
+	if roots == 0 || calls < roots/3 {
+		t.Errorf("%d attempts of callers' requests, then %d of calls", roots, calls)
+	}
+}
+
 // TestRepeats guards against a node that adds attempts of its own while calls
 // of repeated requests already use its share.
 func TestRepeats(t *testing.T) {
@@ -54,13 +119,13 @@
 	for range 20 {
 		b.Repeat(now, "depot")
 	}
-	if b.Allow(now, "depot", 13) {
+	if b.Allow(now, "depot", 13, false) {
 		t.Error("an attempt beyond the share is allowed")
 	}
-	if !b.Allow(now, "billing", 1) {
+	if !b.Allow(now, "billing", 1, true) {
 		t.Error("the budget of another service is used up")
 	}
-	if later := now.Add(30 * time.Second); !b.Allow(later, "depot", 1) {
+	if later := now.Add(30 * time.Second); !b.Allow(later, "depot", 1, true) {
 		t.Error("counts outside of the window still matter")
 	}
 }
@@ -74,7 +139,7 @@
 				name := fmt.Sprint(i % services)
 				now = now.Add(time.Millisecond)
 				g.First(now, name)
-				g.Allow(now, name, 13)
+				g.Allow(now, name, 13, true)
 			}
 		})
 	}
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -300,12 +300,12 @@
 func TestReload(t *testing.T) {
 	s := testState(t, func() int64 { return 1 })
 	s.First("depot")
-	if s.Allow("depot") {
+	if s.Allow("depot", true) {
 		t.Error("an attempt is allowed without a budget")
 	}
 	next := testSettings()
 	next.RetrySlack, next.Grace = 100, time.Second
-	if !s.apply(next) || s.grace() != time.Second || !s.Allow("depot") {
+	if !s.apply(next) || s.grace() != time.Second || !s.Allow("depot", true) {
 		t.Error("the settings were not taken over")
 	}
 	if s.apply(next) {
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -246,10 +246,10 @@
 }
 
 // Allow implements dogrelay.Budget.
-func (s *state) Allow(service string) bool {
+func (s *state) Allow(service string, root bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Allow(time.Now(), service, s.fleet.Len())
+	return s.budget.Allow(time.Now(), service, s.fleet.Len(), root)
 }
 
 // entry returns what the node says of itself in the store.
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -83,8 +83,9 @@
 	// Repeat records the first attempt of a call of a request that runs again.
 	// It counts as a further attempt at the service that is called.
 	Repeat(service string)
-	// Allow reports whether one more attempt is within the budget.
-	Allow(service string) bool
+	// Allow reports whether one more attempt is within the budget. root tells
+	// that the request is one of a caller.
+	Allow(service string, root bool) bool
 }
 
 // Pressure keeps what guards report of how full their targets are. It is safe
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -211,7 +211,7 @@
 	w.repeats++
 }
 
-func (w *world) Allow(string) bool {
+func (w *world) Allow(string, bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.budget--
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -81,7 +81,7 @@
 	if !res.arrived {
 		return true // A further guard costs no target anything.
 	}
-	return reached < route.Attempts() && h.cfg.Budget.Allow(c.service)
+	return reached < route.Attempts() && h.cfg.Budget.Allow(c.service, c.lineage.hop == 0)
 }
 
 // attempt sends a call to the guard of one target.
