--- /dev/null
+++ b/cmd/dogvalue/main.go
@@ -0,0 +1,61 @@
+// Command dogvalue prints where the worth of measured days went.
+//
+// # Usage
+//
+//	dogvalue journal/20261204T135312-9dcd32e9.json
+//
+// It prints a table in Markdown for each journal entry that it is given.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"dogwoodford/platform/value"
+)
+
+var errUsage = eris.New("name at least one journal entry")
+
+func main() {
+	cmd := &cli.Command{
+		Name: "dogvalue", Usage: "print where the worth of measured days went", ArgsUsage: "FILE...",
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dogvalue:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() == 0 {
+		return errUsage
+	}
+	for _, path := range cmd.Args().Slice() {
+		if err := show(path); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return nil
+}
+
+func show(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open: %w", err)
+	}
+	defer func() { _ = f.Close() }() // Only read from.
+	e, err := value.Parse(f)
+	if err != nil {
+		return err
+	}
+	if err := value.Write(os.Stdout, e); err != nil {
+		return err
+	}
+	fmt.Println()
+	return nil
+}
