--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -41,7 +41,7 @@
 	bodies   []string
 }
 
-func newTarget(t *testing.T, script string) *fakeTarget {
+func newTarget(t testing.TB, script string) *fakeTarget {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -256,7 +256,7 @@
 }
 
 // table has one route for each kind, named by it, to the service "rounds".
-func table(t *testing.T, timeout time.Duration) *dogtable.Table {
+func table(t testing.TB, timeout time.Duration) *dogtable.Table {
 	var routes []dogtable.RouteSpec
 	for _, k := range []dogtable.Kind{dogtable.Idempotent, dogtable.NonIdempotent, dogtable.Upload} {
 		routes = append(routes, dogtable.RouteSpec{
@@ -271,7 +271,7 @@
 	return tb
 }
 
-func newTestNode(t *testing.T, name, service, script string, timeout time.Duration) *testNode {
+func newTestNode(t testing.TB, name, service, script string, timeout time.Duration) *testNode {
 	n := &testNode{world: &world{budget: 100}, target: newTarget(t, script)}
 	var tables dogtable.Holder
 	tables.Offer(table(t, timeout))
