--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -61,6 +61,8 @@
 	RangeReleased     = define(1307, "range-released", slog.LevelWarn)
 	RecordsReceived   = define(1308, "records-received", slog.LevelInfo)
 	RecordsSendFailed = define(1309, "records-send-failed", slog.LevelError)
+	RangeCapped       = define(1310, "range-capped", slog.LevelInfo)
+	RangeCapLifted    = define(1311, "range-cap-lifted", slog.LevelInfo)
 )
 
 // Events of membership: 1400 to 1499.
--- a/io/process/dognode/ranges.go
+++ b/io/process/dognode/ranges.go
@@ -42,9 +42,11 @@
 		c.n.async(func(ctx context.Context) { c.askPromise(ctx, a) })
 	case dogrange.CapWindow:
 		end := c.n.records.Cap(a.Number, a.Epoch, a.At)
+		c.n.log(doglog.RangeCapped, attr("range", a.Number), attr("epoch", a.Epoch), attr("end", time.UnixMilli(end)))
 		c.onRanges(now, dogrange.Capped{Number: a.Number, Epoch: a.Epoch, End: end})
 	case dogrange.LiftCap:
 		c.n.records.LiftCap(a.Number, a.Epoch)
+		c.n.log(doglog.RangeCapLifted, attr("range", a.Number), attr("epoch", a.Epoch))
 	case dogrange.SendRecords:
 		c.n.async(func(ctx context.Context) { c.sendRecords(ctx, a) })
 	case dogrange.Gossip:
