dogsidecar: look for silent nodes with one timer

Change: one timer each 75 ms asks all nodes that are due, while requests are in progress. A node that did not answer is asked again after the same time as before.

--- a/core/process/dogfleet/silence.go
+++ b/core/process/dogfleet/silence.go
@@ -68,14 +68,23 @@
 	return suspectAfter, true
 }
 
-// Asked records the end of the question whether a node lives.
-func (s *Silence) Asked(now time.Time, node string, lives bool) {
+// Due returns the nodes that are to be asked now, and whether any request is in
+// progress.
+func (s *Silence) Due(now time.Time) (nodes []string, pending bool) {
+	for node := range s.nodes {
+		if _, ask := s.Check(now, node); ask {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes, len(s.nodes) > 0
+}
+
+// Asked records the end of the question whether a node lives. Whatever the
+// answer, the node is asked again only after the same time.
+func (s *Silence) Asked(now time.Time, node string) {
 	n := s.nodes[node]
 	if n == nil {
 		return
 	}
-	n.asked = false
-	if lives {
-		n.heard = now
-	}
+	n.asked, n.heard = false, now
 }
--- a/io/process/dogsidecar/silence.go
+++ b/io/process/dogsidecar/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"dogwoodford/core/process/dogfleet"
 )
 
 // alive holds a context for each node that requests wait for. It ends when the
@@ -42,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silence.Sent(time.Now(), node)
-	s.watchSilence(node)
+	s.watchSilence()
 }
 
 // Heard implements dogrelay.Fleet.
@@ -52,37 +54,41 @@
 	s.silence.Heard(time.Now(), node, answered)
 }
 
-// watchSilence starts a timer for a node unless one runs. It needs s.mu.
-func (s *state) watchSilence(node string) {
-	if s.checked[node] {
-		return
-	}
-	if wait, _ := s.silence.Check(time.Now(), node); wait > 0 {
-		s.checked[node] = true
-		time.AfterFunc(wait, func() { s.checkSilence(node) })
+// silenceEvery is the interval at which silent nodes are looked for while
+// requests are in progress. One timer for all nodes wakes the process less
+// often than one for each.
+const silenceEvery = 75 * time.Millisecond
+
+// watchSilence starts the timer unless it runs. It needs s.mu.
+func (s *state) watchSilence() {
+	if !s.watching {
+		s.watching = true
+		time.AfterFunc(silenceEvery, s.checkSilence)
 	}
 }
 
-// checkSilence asks a node that has gone silent whether it lives.
-func (s *state) checkSilence(node string) {
+// checkSilence asks nodes that have gone silent whether they live.
+func (s *state) checkSilence() {
 	s.mu.Lock()
-	wait, ask := s.silence.Check(time.Now(), node)
-	e, _, known := s.fleet.Entry(node)
-	s.checked[node] = wait > 0
-	if wait > 0 {
-		time.AfterFunc(wait, func() { s.checkSilence(node) })
-	} else {
-		delete(s.checked, node)
+	defer s.mu.Unlock()
+	names, pending := s.silence.Due(time.Now())
+	for _, name := range names {
+		if e, _, known := s.fleet.Entry(name); known {
+			go s.askSilent(e)
+		}
 	}
-	s.mu.Unlock()
-	if !ask || !known {
-		return
+	s.watching = pending
+	if pending {
+		time.AfterFunc(silenceEvery, s.checkSilence)
 	}
+}
+
+func (s *state) askSilent(e dogfleet.Entry) {
 	lives := s.ask(e)
 	s.mu.Lock()
-	s.silence.Asked(time.Now(), node, lives)
+	s.silence.Asked(time.Now(), e.Node)
 	s.mu.Unlock()
 	if !lives {
-		s.Unreachable(node, true)
+		s.Unreachable(e.Node, true)
 	}
 }
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -35,14 +35,15 @@
 	fleet   *dogfleet.Fleet
 	silence *dogfleet.Silence
 	alive   alive
-	checked map[string]bool // Nodes whose silence a timer watches.
-	target  *dogtarget.Watch
-	last    dogwoodford.State // State of the target that was logged last.
-	budget  *dogbudget.Budget
-	pace    *dogpace.Pace
-	crashes crashes
-	stage   stage
-	listed  bool // The entries in the store were read.
+	// watching tells that a timer runs which looks for silent nodes.
+	watching bool
+	target   *dogtarget.Watch
+	last     dogwoodford.State // State of the target that was logged last.
+	budget   *dogbudget.Budget
+	pace     *dogpace.Pace
+	crashes  crashes
+	stage    stage
+	listed   bool // The entries in the store were read.
 }
 
 // stage is how far a node is on its way to its end. Stages follow one another.
@@ -59,7 +60,7 @@
 	return &state{
 		settings: s, log: log, version: version,
 		changed: make(chan struct{}, 1), newer: make(chan string, 1),
-		fleet: dogfleet.New(), silence: dogfleet.NewSilence(), alive: make(alive), checked: make(map[string]bool),
+		fleet: dogfleet.New(), silence: dogfleet.NewSilence(), alive: make(alive),
 		target: dogtarget.New(dogtarget.Options{
 			Service: s.Service, Address: s.Target, Silence: silentBeats * s.Heartbeat,
 		}),
