dogrelay: refuse what the node has no memory for

Change: a node holds at most one request for each 160 KB of its memory. Beyond that, guards refuse all, and entries the requests of callers, as not run.

--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -50,6 +50,10 @@
 	// collector runs harder. The rest is for stacks, the kernel's buffers and
 	// the program itself.
 	memoryShare = 0.6
+	// requestBytes is the memory that is set aside for a request in progress:
+	// its goroutines and the buffers of up to four connections, twice, as the
+	// collector lets as much garbage gather.
+	requestBytes = 160 << 10
 	// firstSlots stands for the target's slots until its first heartbeat;
 	// nothing is sent before that.
 	firstSlots = 16
@@ -154,7 +158,7 @@
 		Target: dogconn.NewTarget(dogconn.Options{
 			MaxConns: maxConns, IdleTimeout: idleTarget, DialTimeout: dialTimeout, Liveness: live,
 		}),
-		Log: n.log, Metrics: n.metrics,
+		Log: n.log, Metrics: n.metrics, MostInProgress: settings.MemoryBytes / requestBytes,
 	})
 	n.servers = n.newServers()
 	return n
--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -37,6 +37,8 @@
 	return slog.Int64("left_ms", c.deadline.Sub(now).Milliseconds())
 }
 
+func heldAttr(n int64) slog.Attr { return slog.Int64("held", n) }
+
 // loadAttr shows what a guard decided by.
 func loadAttr(l dogwoodford.Load) slog.Attr {
 	return slog.String("load", fmt.Sprintf("running=%d queued=%d limit=%d cutoff=%d", l.InFlight, l.Queued, l.Limit, l.Cutoff))
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"dogwoodford"
@@ -126,6 +127,9 @@
 	Target        *dogconn.Transport
 	Log           Log
 	Metrics       *dogmetric.Set
+	// MostInProgress bounds the requests that the node holds, at entry and
+	// guard together, as each takes memory; 0 sets no bound.
+	MostInProgress int64
 }
 
 const (
@@ -146,9 +150,19 @@
 
 // Handlers carries requests. It is safe for concurrent use.
 type Handlers struct {
-	cfg     Config
-	running *registry
+	cfg      Config
+	running  *registry
+	progress atomic.Int64 // Requests at entry and guard.
 }
 
+// hold counts a request that has come in and reports whether the node has room
+// for it. release must follow in any case.
+func (h *Handlers) hold() bool {
+	n := h.progress.Add(1)
+	return h.cfg.MostInProgress == 0 || n <= h.cfg.MostInProgress
+}
+
+func (h *Handlers) release() { h.progress.Add(-1) }
+
 // New returns the handlers of a node.
 func New(cfg Config) *Handlers { return &Handlers{cfg: cfg, running: newRegistry()} }
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -17,6 +17,8 @@
 
 func (h *Handlers) serveEntry(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	h.hold()
+	defer h.release()
 	id := r.Header.Get(h.cfg.Headers.Attempt)
 	ctx := r.Context()
 	res, c := h.enter(ctx, r, start)
@@ -51,6 +53,9 @@
 	if parent == nil && h.cfg.Local.Leaving() {
 		return refused(dogwoodford.ReasonDraining, leavingRetry), nil
 	}
+	if parent == nil && h.cfg.MostInProgress > 0 && h.progress.Load() > h.cfg.MostInProgress {
+		return refused(dogwoodford.ReasonOverload, fullRetry), nil
+	}
 	table := h.cfg.Tables.Table()
 	if table == nil {
 		return refused(dogwoodford.ReasonNoConfig, noConfigRetry), nil
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -24,10 +24,30 @@
 		h.reply(w, refused(dogwoodford.ReasonBadRequest, 0))
 		return
 	}
+	defer h.release()
+	if !h.hold() {
+		h.reply(w, h.full(c))
+		return
+	}
 	c.body = streamed(r.Body, r.ContentLength)
 	h.reply(w, h.guard(r.Context(), c))
 }
 
+// full refuses a call for which the node has no memory.
+func (h *Handlers) full(c *call) *result {
+	res := refused(dogwoodford.ReasonOverload, fullRetry)
+	load := h.cfg.Gate.Load()
+	res.load = &load
+	h.cfg.Metrics.AddTo(dogmetric.GuardRefusals, string(res.reason), 1)
+	h.cfg.Log.Event(c.source.Context(), doglog.GuardRefused, idAttr(c.id), reasonAttr(res.reason), outcomeAttr(res.outcome),
+		loadAttr(load), heldAttr(h.progress.Load()), leftAttr(c, time.Now()))
+	return res
+}
+
+// fullRetry is when a caller may come back to a node that holds all requests
+// that it has memory for. A good part of them has ended by then.
+const fullRetry = time.Second
+
 func (h *Handlers) reply(w http.ResponseWriter, res *result) {
 	defer res.end()
 	res.writePeer(w, h.cfg.Tables.Version())
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -194,6 +194,40 @@
 	}
 }
 
+// TestMostInProgress guards against a node that is killed for its memory, and
+// against calls of running requests that its entry turns away.
+func TestMostInProgress(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
+	entry.knows(guard)
+	for _, tc := range []struct {
+		name         string
+		entry, guard int64 // In progress besides the request.
+		id           string
+		want         int
+	}{
+		{"room", 0, 1, "b1", http.StatusOK},
+		{"guard full", 0, 2, "b2", http.StatusServiceUnavailable},
+		{"entry full", 2, 0, "b3", http.StatusServiceUnavailable},
+		{"call at a full entry", 2, 0, "a1.b4", http.StatusOK},
+	} {
+		entry.relay.running.add(&call{id: "a1"})
+		entry.relay.cfg.MostInProgress, guard.relay.cfg.MostInProgress = 2, 2
+		entry.relay.progress.Store(tc.entry)
+		guard.relay.progress.Store(tc.guard)
+		status, h, _, err := ask(t, entry, "idempotent", tc.id, "")
+		if err != nil || status != tc.want {
+			t.Errorf("%s: status %d, error %v; want %d", tc.name, status, err, tc.want)
+		}
+		if status != http.StatusOK && h.Get("Retry-After") == "" {
+			t.Errorf("%s: the refusal has no Retry-After", tc.name)
+		}
+	}
+	if n := guard.target.count(); n != 2 {
+		t.Errorf("%d requests ran, want 2", n)
+	}
+}
+
 // TestGuardOfAnotherService guards against requests that run at a service that
 // took over the address of a node.
 func TestGuardOfAnotherService(t *testing.T) {
