dogpressure: tell callers to come back by the share that is refused

Ruled out: no hint for requests of high priority (they come back at once and in step); a shorter hint in all cases (with most requests refused, callers use up their only retry while there is no room).

Change: the hint is the ratio of refused to admitted requests of the class in the last half second, in seconds, from 0.2 to 2 s, half of it left to chance.

--- a/core/process/dogpressure/table.go
+++ b/core/process/dogpressure/table.go
@@ -31,6 +31,9 @@
 	// reports holds; 0 works it out for each request, which takes time in
 	// proportion to the nodes of the service.
 	Refresh time.Duration
+	// RetryByShare makes hints when to come back follow from the share of the
+	// class that is refused. Without it they are 1 to 2 s.
+	RetryByShare bool
 }
 
 // Report is what a guard reports with an answer.
@@ -66,6 +69,7 @@
 	services map[string]map[string]*known   // By service and node.
 	calls    map[class]map[string]time.Time // Last call of a class by service.
 	cutoffs  map[demand]cutoff
+	shares   map[demand]*share
 }
 
 // demand is what a cutoff applies to.
@@ -95,6 +99,7 @@
 		services: make(map[string]map[string]*known),
 		calls:    make(map[class]map[string]time.Time),
 		cutoffs:  make(map[demand]cutoff),
+		shares:   make(map[demand]*share),
 	}
 }
 
@@ -131,13 +136,37 @@
 		t.calls[c] = calls
 	}
 	calls[r.Service()] = now
-	if r.Priority() >= t.cutoff(now, r.Service(), c) || t.opts.Rand.IntN(t.opts.ProbeIn) == 0 {
+	admitted := r.Priority() >= t.cutoff(now, r.Service(), c) || t.opts.Rand.IntN(t.opts.ProbeIn) == 0
+	wait := t.retryAfter(now, demand{service: r.Service(), class: c}, !admitted)
+	if admitted {
 		return dogwoodford.RunVerdict()
 	}
-	wait := time.Second + time.Duration(t.opts.Rand.Int64N(int64(time.Second)))
 	return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, wait)
 }
 
+// retryAfter records a request and returns the hint for it if it is refused.
+func (t *Table) retryAfter(now time.Time, d demand, refused bool) time.Duration {
+	if !t.opts.RetryByShare {
+		return time.Second + time.Duration(t.opts.Rand.Int64N(int64(time.Second)))
+	}
+	s := t.shares[d]
+	if s == nil {
+		if len(t.shares) >= maxCutoffs {
+			clear(t.shares)
+		}
+		s = &share{at: now}
+		t.shares[d] = s
+	}
+	s.record(now, refused)
+	if !refused {
+		return 0
+	}
+	// Half of the hint is left to chance, so that callers that were refused
+	// together do not come back together.
+	wait := s.retryAfter()
+	return wait/2 + time.Duration(t.opts.Rand.Int64N(int64(wait)))
+}
+
 // Cutoff returns the lowest priority of the class of r that some target of
 // r.Service() admits, as far as fresh reports say.
 func (t *Table) Cutoff(now time.Time, r dogwoodford.Request) dogwoodford.Priority {
--- a/core/process/dogpressure/table_test.go
+++ b/core/process/dogpressure/table_test.go
@@ -122,6 +122,39 @@
 	}
 }
 
+// TestRetryByShare guards against callers that are sent away for longer than
+// their answer is of use while most requests are admitted, and against callers
+// that all come back into a lasting overload. Patterns: a service 20% and 400%
+// over what it can run.
+func TestRetryByShare(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		cutoff   dogwoodford.Priority // Within importance 5, whose ranks are spread evenly.
+		low, top time.Duration
+	}{
+		{"a sixth refused", 5*dogwoodford.RankCount + 21, 100 * time.Millisecond, 450 * time.Millisecond},
+		{"half refused", 5*dogwoodford.RankCount + 64, 300 * time.Millisecond, 2200 * time.Millisecond},
+		{"nearly all refused", 6 * dogwoodford.RankCount, time.Second, 3 * time.Second},
+	} {
+		tab := New(Options{Rand: rand.New(rand.NewPCG(1, 1)), RetryByShare: true})
+		for i := range 3000 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			r := dogwoodford.NewRequest(dogwoodford.RequestSpec{
+				Root: strconv.Itoa(i), Service: "depot", Class: "sheet", Importance: 5,
+			})
+			tab.Reported(now, r, "depot-1", Report{Own: tc.cutoff})
+			v := tab.Admit(now, r)
+			if i < 1000 || v.Action() == dogwoodford.Run {
+				continue
+			}
+			if v.RetryAfter() < tc.low || v.RetryAfter() > tc.top {
+				t.Errorf("%s: hint %v, want %v to %v", tc.name, v.RetryAfter(), tc.low, tc.top)
+				break
+			}
+		}
+	}
+}
+
 // TestRefresh guards against a cutoff that stays in force after its reports
 // have changed, and against working it out for each request of a large fleet.
 func TestRefresh(t *testing.T) {
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -149,7 +149,7 @@
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Crashes: n.state, Gate: gate,
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{
-			Rand: newRand(), Mean: true, Refresh: cutoffRefresh,
+			Rand: newRand(), Mean: true, Refresh: cutoffRefresh, RetryByShare: true,
 		})},
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSample,
