dogrange: start no handover after the platform was lost

Cause: TestPlatform (known red) found no range that takes keys during an outage of the platform. A trace shows range 6 capped for a handover 0.3 s after the platform was lost; the handover could not be written, so its keys were refused until the platform was back, and the callers of the test waited for them. A range counted as confirmed for 3 s after its own last answer, although calls for other ranges had failed.

Ruled out: witnesses that refuse promises (all other ranges were promised); renewals in doubt with another witness (none was under way).

Change: no handover starts after a call without an answer until one is answered. What remains is a handover under way at the very start of an outage.

After: TestNoHandoverInOutage passes; TestPlatform is to be run again.

--- a/core/process/dogrange/object.go
+++ b/core/process/dogrange/object.go
@@ -124,10 +124,11 @@
 func (rs *Ranges) retry(kr *keyRange) {
 	wait := min(250<<min(kr.fails, 3), 2000)
 	kr.fails++
+	rs.lost = true
 	kr.due = rs.now + int64(float64(wait)*(0.5+rs.rnd.Float64()))
 }
 
-func (rs *Ranges) answered(kr *keyRange) { kr.fails, kr.okAt = 0, rs.now }
+func (rs *Ranges) answered(kr *keyRange) { kr.fails, kr.okAt, rs.lost = 0, rs.now, false }
 
 func (rs *Ranges) onWritten(ev Written) {
 	kr := rs.byOp(ev.Op)
--- a/core/process/dogrange/ranges_test.go
+++ b/core/process/dogrange/ranges_test.go
@@ -289,6 +289,35 @@
 	}
 }
 
+// Guards against a range that is capped for a handover after the platform was
+// lost: its keys are then refused until the platform is back, as its window can
+// no longer be prolonged.
+func TestNoHandoverInOutage(t *testing.T) {
+	f := newFixture(t, member("n0", 7, "a", dogwoodford.Ready), member("n1", 1, "b", dogwoodford.Ready), member("n2", 1, "b", dogwoodford.Ready))
+	v := owned(4, "n0", 7)
+	v.End += 60_000 // No promise is needed meanwhile.
+	f.learn(9, v)
+	f.rs.ranges[0].okAt, f.rs.ranges[0].renewAt = f.now+60_000, maxMs
+	// The call for another range finds the platform gone.
+	other := f.rs.ranges[1]
+	other.due, other.stale = 0, true
+	read := until[ReadObject](f)
+	acts := f.send(1, Read{Op: read.Op, Err: dogwoodford.ErrUnavailable})
+	other.due = maxMs
+	acts = append(acts, f.send(1, Drain{})...)
+	for range 20 {
+		acts = append(acts, f.send(100, Tick{})...)
+	}
+	if c, ok := first[CapWindow](acts); ok {
+		t.Errorf("capped %+v during an outage", c)
+	}
+	other.due = 0
+	read = until[ReadObject](f)
+	if _, ok := first[CapWindow](f.send(1, Read{Op: read.Op, Err: dogwoodford.ErrNotFound})); !ok {
+		t.Error("not capped after the outage")
+	}
+}
+
 // Guards against content that would make a node run keys it must not, and
 // against a release that frees issue times that were granted.
 func TestValues(t *testing.T) {
