dogconn: send calls in the goroutine of the caller

Change: the HTTP/1.1 transport keeps its own connections. The caller's goroutine writes the call with net/http's Request.Write and reads the answer with ReadResponse. A kept connection is read without waiting before it is used: one with an end or with bytes is closed. Only a body above 4 KB is written by a goroutine of its own, as a target may answer before it has read it. HTTP/2 is as before.

--- /dev/null
+++ b/io/connection/dogconn/direct_test.go
@@ -0,0 +1,188 @@
+package dogconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dogwoodford/core/connection/dogoutcome"
+)
+
+// rawServer serves each connection by serve and counts them.
+func rawServer(t *testing.T, serve func(c net.Conn)) (addr string, conns *atomic.Int32) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// answering answers each call and does something after it.
+func answering(after func(c net.Conn)) func(net.Conn) {
+	return func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+			after(c)
+		}
+	}
+}
+
+func exchangeOnce(t *testing.T, tr *Transport, addr, body string) (string, dogoutcome.Stage, error) {
+	t.Helper()
+	resp, stage, err := tr.Do(request(t, "POST", "http://"+addr+"/", strings.NewReader(body)))
+	if err != nil {
+		return "", stage, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), stage, err
+}
+
+// TestKeptConnections guards against calls that are lost on a connection which
+// the other side has ended, and against bytes after an answer that are taken
+// for the next one.
+func TestKeptConnections(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after func(c net.Conn)
+		conns int32
+	}{
+		"kept":          {func(net.Conn) {}, 1},
+		"ended":         {func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, 3},
+		"reset":         {func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }, 3},
+		"extra answer":  {func(c net.Conn) { io.WriteString(c, okAnswer) }, 3},
+		"late answer":   {func(c net.Conn) { time.Sleep(5 * time.Millisecond); io.WriteString(c, okAnswer) }, 3},
+		"not an answer": {func(c net.Conn) { io.WriteString(c, "x") }, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := rawServer(t, answering(tc.after))
+			tr := NewTarget(Options{MaxConns: 1})
+			defer tr.Close()
+			for range 3 {
+				if got, stage, err := exchangeOnce(t, tr, addr, "content"); err != nil || got != "ok" {
+					t.Fatalf("answer %q, stage %v, error %v", got, stage, err)
+				}
+				time.Sleep(20 * time.Millisecond) // What follows the answer arrives.
+			}
+			if n := conns.Load(); n != tc.conns {
+				t.Errorf("%d connections, want %d", n, tc.conns)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswer guards against an answer that is lost because its call is
+// still being written, and against a call that is taken for the rest of the
+// body before it.
+func TestEarlyAnswer(t *testing.T) {
+	release := make(chan struct{})
+	addr, conns := rawServer(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if req.ContentLength > inlineBody {
+				io.WriteString(c, okAnswer)
+				<-release
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			if req.ContentLength <= inlineBody {
+				io.WriteString(c, okAnswer)
+			}
+		}
+	})
+	tr := NewTarget(Options{MaxConns: 1})
+	defer tr.Close()
+	long := strings.Repeat("x", 32<<20) // More than the kernel's buffers hold.
+	if got, stage, err := exchangeOnce(t, tr, addr, long); err != nil || got != "ok" {
+		t.Fatalf("early answer %q, stage %v, error %v", got, stage, err)
+	}
+	if got, stage, err := exchangeOnce(t, tr, addr, "short"); err != nil || got != "ok" {
+		t.Errorf("next answer %q, stage %v, error %v", got, stage, err)
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+	close(release)
+}
+
+// TestGivenUp guards against calls that hold their connection after the caller
+// has left, and against connections with an unread answer that are used again.
+func TestGivenUp(t *testing.T) {
+	ended := make(chan struct{}, 8)
+	addr, conns := rawServer(t, func(c net.Conn) {
+		defer func() { ended <- struct{}{} }()
+		br := bufio.NewReader(c)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, _ = br.ReadByte() // Waits for the end of the connection.
+	})
+	tr := NewTarget(Options{MaxConns: 1})
+	defer tr.Close()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, stage, err := tr.Do(request(t, "GET", "http://"+addr+"/", nil).WithContext(ctx))
+		if !errors.Is(err, context.DeadlineExceeded) || stage != dogoutcome.Written {
+			t.Errorf("stage %v, error %v", stage, err)
+		}
+		cancel()
+		<-ended
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// TestIdleConnections guards against connections that stay open unused.
+func TestIdleConnections(t *testing.T) {
+	addr, _ := rawServer(t, answering(func(net.Conn) {}))
+	tr := NewTarget(Options{MaxConns: 4, IdleTimeout: 30 * time.Millisecond})
+	defer tr.Close()
+	if _, _, err := exchangeOnce(t, tr, addr, "content"); err != nil {
+		t.Fatal(err)
+	}
+	if n := tr.Counts().Open; n != 1 {
+		t.Errorf("%d connections after a call, want 1", n)
+	}
+	for deadline := time.Now().Add(10 * time.Second); tr.Counts().Open > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection is still open")
+		}
+	}
+}
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -48,7 +48,8 @@
 // Transport sends calls. It is safe for concurrent use.
 type Transport struct {
 	protocol Protocol
-	base     *http.Transport
+	base     *http.Transport // For HTTP/2.
+	pool     *pool           // For HTTP/1.1.
 	opened   atomic.Int64
 	open     atomic.Int64
 }
@@ -79,17 +80,19 @@
 	p.SetHTTP1(o.Protocol == HTTP1)
 	p.SetUnencryptedHTTP2(o.Protocol == HTTP2)
 	t := &Transport{protocol: o.Protocol}
+	dial := func(ctx context.Context, addr string) (*conn, error) {
+		c, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("dial: %w", err)
+		}
+		t.opened.Add(1)
+		t.open.Add(1)
+		return &conn{Conn: c, closed: func() { t.open.Add(-1) }}, nil
+	}
+	t.pool = newPool(dial, o.MaxConns, o.IdleTimeout)
 	t.base = &http.Transport{
-		Protocols: &p,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, fmt.Errorf("dial: %w", err)
-			}
-			t.opened.Add(1)
-			t.open.Add(1)
-			return &conn{Conn: c, closed: func() { t.open.Add(-1) }}, nil
-		},
+		Protocols:           &p,
+		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
 		DisableCompression:  true, // Answers pass unchanged.
 		MaxConnsPerHost:     o.MaxConns,
 		MaxIdleConnsPerHost: o.MaxConns,
@@ -116,7 +119,10 @@
 }
 
 // Close ends the idle connections.
-func (t *Transport) Close() { t.base.CloseIdleConnections() }
+func (t *Transport) Close() {
+	t.base.CloseIdleConnections()
+	t.pool.close()
+}
 
 // Do sends req and returns the headers of the answer, with the body still to
 // come, and the stage dogoutcome.Headers. On an error the stage says whether
@@ -124,11 +130,11 @@
 // will be. Do removes Idempotency-Key headers from req and clears GetBody.
 func (t *Transport) Do(req *http.Request) (*http.Response, dogoutcome.Stage, error) {
 	t.forbidReplay(req)
-	c := &call{shared: t.protocol == HTTP2}
-	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
-	if c.shared {
-		trace.WroteHeaderField = func(string, []string) { c.headersStarted() }
+	if t.protocol == HTTP1 {
+		return t.direct(req)
 	}
+	c := &call{}
+	trace := &httptrace.ClientTrace{GotConn: c.gotConn, WroteHeaderField: func(string, []string) { c.headersStarted() }}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
@@ -148,17 +154,12 @@
 	if req.Body != nil && req.Body != http.NoBody {
 		return
 	}
-	if t.protocol == HTTP2 {
-		// The end of the stream follows the headers in a frame of its own.
-		req.Body, req.ContentLength = emptyBody{}, 0
+	if t.protocol == HTTP1 {
+		req.Body, req.ContentLength = http.NoBody, 0
 		return
 	}
-	switch req.Method {
-	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		// net/http finds the end of this body before it writes, so no body and
-		// no Transfer-Encoding is sent.
-		req.Body, req.ContentLength = emptyBody{}, 0
-	}
+	// The end of the stream follows the headers in a frame of its own.
+	req.Body, req.ContentLength = emptyBody{}, 0
 }
 
 type emptyBody struct{}
@@ -166,31 +167,19 @@
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (emptyBody) Close() error             { return nil }
 
-// call follows the connections that one call was given.
+// call follows the connections that one call of HTTP/2 was given.
 type call struct {
-	shared  bool
 	mu      sync.Mutex
 	got     bool
 	written bool
-	conn    *conn
-	before  uint64
 }
 
-func (c *call) gotConn(info httptrace.GotConnInfo) {
+func (c *call) gotConn(httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.got = true
-	if c.conn != nil && c.conn.count() != c.before {
-		c.written = true
-	}
-	c.conn, _ = info.Conn.(*conn)
-	if c.conn != nil {
-		c.before = c.conn.count()
-	}
 }
 
-// headersStarted is for shared connections. On a connection of its own the
-// count of writes is exact.
 func (c *call) headersStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,11 +195,9 @@
 		return dogoutcome.DialFailed
 	case c.written:
 		return dogoutcome.Written
-	case c.shared && ctx.Err() != nil:
+	case ctx.Err() != nil:
 		// HTTP/2 may still be about to write the headers of a cancelled call.
 		return dogoutcome.Written
-	case !c.shared && (c.conn == nil || !c.conn.seal(c.before)):
-		return dogoutcome.Written
 	}
 	return dogoutcome.NothingWritten
 }
