--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -188,7 +188,7 @@
 	}
 	return &result{
 		outcome: dogwoodford.Ran, arrived: true, status: resp.StatusCode,
-		header: endToEnd(resp.Header), body: b, release: func() { _ = resp.Body.Close() },
+		header: keepEndToEnd(resp.Header), body: b, release: func() { _ = resp.Body.Close() },
 	}
 }
 
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -46,6 +46,21 @@
 	return out
 }
 
+// keepEndToEnd removes from h the headers of one connection and those between
+// nodes, and returns h. The copy of endToEnd is needed for requests only, which
+// can be sent more than once.
+func keepEndToEnd(h http.Header) http.Header {
+	for k := range namedByConnection(h) {
+		delete(h, k)
+	}
+	for k := range h {
+		if connectionHeaders[k] || dogcall.IsOwn(k) {
+			delete(h, k)
+		}
+	}
+	return h
+}
+
 // namedByConnection returns the headers that the Connection header declares to
 // concern one connection; nil if there are none.
 func namedByConnection(h http.Header) map[string]bool {
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -279,6 +279,22 @@
 	}
 }
 
+// TestEndToEnd guards against headers of one connection, or between nodes, that
+// are passed on, and against others that are not.
+func TestEndToEnd(t *testing.T) {
+	in := http.Header{
+		"Connection": {"X-Hop, keep-alive"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
+		dogcall.HeaderReason: {"x"}, "X-Seal": {"s"}, "Content-Type": {"a/b"}, "Cookie": {"a", "b"},
+	}
+	want := http.Header{"X-Seal": {"s"}, "Content-Type": {"a/b"}, "Cookie": {"a", "b"}}
+	if diff := cmp.Diff(want, endToEnd(in)); diff != "" {
+		t.Errorf("copied headers (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(want, keepEndToEnd(in)); diff != "" {
+		t.Errorf("kept headers (-want +got):\n%s", diff)
+	}
+}
+
 // FuzzParseCall guards against headers of other nodes that crash a guard.
 func FuzzParseCall(f *testing.F) {
 	f.Add("1 1 300 1 2 0 0 9 sheet 10.0.0.1:1 rounds billing")
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -25,7 +25,7 @@
 
 	// The answer of the target, if outcome is Ran.
 	status  int
-	header  http.Header // As endToEnd returns it.
+	header  http.Header // As keepEndToEnd returns it.
 	body    *body
 	release func() // Called once the body was read; may be nil.
 }
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -173,7 +173,7 @@
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
 		return lost(dogwoodford.ReasonBadAnswer)
 	}
-	res.arrived, res.status, res.header, res.body = true, resp.StatusCode, endToEnd(resp.Header), b
+	res.arrived, res.status, res.header, res.body = true, resp.StatusCode, keepEndToEnd(resp.Header), b
 	res.release = func() { _ = resp.Body.Close() }
 	return res
 }
