dogtarget: keep in mind who left before the first heartbeat

Cause: a node that has just started knows no target. The notice that one leaves was acknowledged and forgotten, and a late heartbeat, sent before it, made the target ready again, against the acknowledgement.

Change: the id and the time of such a notice are kept for 30 s, and heartbeats of a target that was started before are outdated.

Before: the script "leaving before the first heartbeat" ends with a ready target. After: it stays starting; a new start under the same id is taken.

--- a/core/process/dogtarget/watch.go
+++ b/core/process/dogtarget/watch.go
@@ -60,6 +60,9 @@
 	opts    Options
 	current *incarnation
 	left    map[string]int64 // Start of the last incarnation of each id that has left.
+	// leaving is when ids left of which no heartbeat was known, as after a
+	// start of the node.
+	leaving map[string]time.Time
 }
 
 type incarnation struct {
@@ -72,8 +75,12 @@
 // the node reports here, so that few ids follow one another.
 const maxLeft = 256
 
+// lateFor is the time for which heartbeats may still arrive that were sent
+// before the target left.
+const lateFor = 30 * time.Second
+
 // New returns a watch that knows nothing of the target.
-func New(o Options) *Watch { return &Watch{opts: o, left: make(map[string]int64)} }
+func New(o Options) *Watch { return &Watch{opts: o, left: make(map[string]int64), leaving: make(map[string]time.Time)} }
 
 // Observe takes a heartbeat. A target that once drained stays so until its
 // next start.
@@ -84,6 +91,9 @@
 	if born, ok := w.left[r.ID]; ok && r.Born <= born {
 		return Outdated
 	}
+	if at, ok := w.leaving[r.ID]; ok && now.Sub(at) < lateFor && r.Born < at.UnixMilli() {
+		return Outdated
+	}
 	if c := w.current; c != nil && older(r, c.report) {
 		return Outdated
 	}
@@ -106,9 +116,16 @@
 }
 
 // Leave takes the notice that the target with this id is leaving for good.
-func (w *Watch) Leave(id string) {
+func (w *Watch) Leave(now time.Time, id string) {
 	c := w.current
-	if c == nil || c.report.ID != id {
+	if c == nil {
+		if len(w.leaving) >= maxLeft {
+			clear(w.leaving)
+		}
+		w.leaving[id] = now
+		return
+	}
+	if c.report.ID != id {
 		return
 	}
 	if len(w.left) >= maxLeft {
--- a/core/process/dogtarget/watch_test.go
+++ b/core/process/dogtarget/watch_test.go
@@ -47,7 +47,7 @@
 	case "beat":
 		effect = w.Observe(now, report(t, f[2:])).String() + " "
 	case "leave":
-		w.Leave(f[2])
+		w.Leave(now, f[2])
 	case "lost":
 		w.Lost(f[2])
 	case "answered":
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -101,7 +101,7 @@
 func (s *state) Leave(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.target.Leave(id)
+	s.target.Leave(time.Now(), id)
 	s.noteTarget()
 }
 
