--- a/core/process/dogtarget/watch.go
+++ b/core/process/dogtarget/watch.go
@@ -80,7 +80,9 @@
 const lateFor = 30 * time.Second
 
 // New returns a watch that knows nothing of the target.
-func New(o Options) *Watch { return &Watch{opts: o, left: make(map[string]int64), leaving: make(map[string]time.Time)} }
+func New(o Options) *Watch {
+	return &Watch{opts: o, left: make(map[string]int64), leaving: make(map[string]time.Time)}
+}
 
 // Observe takes a heartbeat. A target that once drained stays so until its
 // next start.
