dogrange: start handovers only just after an answer of the platform

Cause: a second trace of TestPlatform shows range 4 capped a millisecond before the handover's write found the platform lost. The platform counted as reachable for 3 s after its last answer to a call for the range.

Change: a handover starts within 250 ms of an answer to any call of the node, which an owner gets at each renewal. A platform that goes down in between still leaves the range capped until it is back, as its write may have taken effect; that needs an agreement of both owners and stays open.

--- a/core/process/dogrange/handover.go
+++ b/core/process/dogrange/handover.go
@@ -12,13 +12,14 @@
 
 // recentMs is the age of the last answer of the platform beyond which no
 // handover starts, as none does after a call without an answer. A capped window
-// cannot be prolonged while the platform is down.
-const recentMs = 3000
+// cannot be prolonged while the platform is down. The owner of a range hears of
+// the platform at each renewal, so that a handover waits for one at most.
+const recentMs = 250
 
 // startHandover caps the window when the range has to move.
 func (rs *Ranges) startHandover(kr *keyRange) {
 	c := rs.current(kr)
-	if rs.lost || c == nil || kr.cap != capNone || kr.restored != nil || kr.doubt != nil || rs.now > kr.okAt+recentMs {
+	if rs.lost || c == nil || kr.cap != capNone || kr.restored != nil || kr.doubt != nil || rs.now > rs.okAt+recentMs {
 		return
 	}
 	if !rs.draining && !kr.wanted && !rs.rebalance(kr) {
--- a/core/process/dogrange/object.go
+++ b/core/process/dogrange/object.go
@@ -16,7 +16,6 @@
 	restored *Value // Content found in place of val after a restore; zero if lost or malformed.
 	stale    bool   // Read before the next write.
 	readAt   int64  // Time of the last read that was answered.
-	okAt     int64  // Time of the last call that the platform answered.
 
 	op      int64  // Call of the platform in progress, or 0.
 	opWrite *write // Its write; nil for a read.
@@ -128,7 +127,7 @@
 	kr.due = rs.now + int64(float64(wait)*(0.5+rs.rnd.Float64()))
 }
 
-func (rs *Ranges) answered(kr *keyRange) { kr.fails, kr.okAt, rs.lost = 0, rs.now, false }
+func (rs *Ranges) answered(kr *keyRange) { kr.fails, rs.okAt, rs.lost = 0, rs.now, false }
 
 func (rs *Ranges) onWritten(ev Written) {
 	kr := rs.byOp(ev.Op)
--- a/core/process/dogrange/ranges.go
+++ b/core/process/dogrange/ranges.go
@@ -50,6 +50,7 @@
 	joined   int64                                    // When the first view of the members came.
 	draining bool
 	drainAt  int64 // When it began to drain.
+	okAt     int64 // Time of the last answer of the platform.
 	lost     bool  // The platform did not answer the last call.
 	dirty    bool  // The table must be published.
 	table    *Table
--- a/core/process/dogrange/ranges_test.go
+++ b/core/process/dogrange/ranges_test.go
@@ -244,7 +244,7 @@
 	v := owned(5, "n0", 7)
 	v.Start, v.End, v.PreviousOwner = f.now+400, f.now+60_000, "n1"
 	f.learn(9, v)
-	f.rs.ranges[0].okAt = f.now + 60_000
+	f.rs.okAt = f.now + 60_000
 	capped, ok := first[CapWindow](f.send(500, Tick{}))
 	if !ok {
 		capped = until[CapWindow](f)
@@ -263,7 +263,7 @@
 	v := owned(4, "n0", 7)
 	v.End += 60_000 // No promise is needed meanwhile.
 	f.learn(9, v)
-	f.rs.ranges[0].okAt = f.now + 60_000
+	f.rs.okAt = f.now + 60_000
 	f.rs.ranges[0].renewAt = maxMs
 	capped, ok := first[CapWindow](f.send(0, ev))
 	if !ok {
@@ -297,7 +297,7 @@
 	v := owned(4, "n0", 7)
 	v.End += 60_000 // No promise is needed meanwhile.
 	f.learn(9, v)
-	f.rs.ranges[0].okAt, f.rs.ranges[0].renewAt = f.now+60_000, maxMs
+	f.rs.okAt, f.rs.ranges[0].renewAt = f.now+60_000, maxMs
 	// The call for another range finds the platform gone.
 	other := f.rs.ranges[1]
 	other.due, other.stale = 0, true
