dogsidecar: keep the guard of a stopping node open as long as its entry

A guard closed 1.5 s after the stop signal, the process ended after 2.5 s at the earliest, so that its target was out of use for a second without need.

Change: the guard closes 2.5 s after the signal.

--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -36,8 +36,10 @@
 	// rest of the grace is for those in progress.
 	entryFor = 3 * time.Second
 	// guardFor is the time after the stop signal in which the guard still
-	// takes requests. What it takes ends well within the grace.
-	guardFor = 1500 * time.Millisecond
+	// takes requests: as long as callers come to the entry, since the target
+	// is out of use from then until the node has started again. What the guard
+	// takes ends well within the grace.
+	guardFor = readyFor
 	// stopMargin is the part of the grace that is left for the end of the
 	// process.
 	stopMargin = 600 * time.Millisecond
