dogpace: gather changes of the entries for longer in large fleets

While machines are stopped and started in turn, a change of some entry comes each second, and each of 74 watches ends at it.

Change: the pause after a change of the entries is 25 ms for each node, from 1 to 3 s. New targets are found up to 2 s later in fleets of a hundred; targets that leave refuse by themselves, whatever the entries say.

--- a/core/process/dogpace/doc.go
+++ b/core/process/dogpace/doc.go
@@ -14,6 +14,7 @@
 //	p := dogpace.New(dogpace.Options{Least: 1500 * time.Millisecond, Rand: rng})
 //	p.Heard() // For each request or answer of another node.
 //	wait := p.Wait(now, nodes)
+//	pause := dogpace.Pause(nodes) // After a change.
 //
 // The package makes no calls and starts no timers.
 package dogpace
--- a/core/process/dogpace/pace.go
+++ b/core/process/dogpace/pace.go
@@ -21,6 +21,22 @@
 	jitter = 0.5
 )
 
+const (
+	// pauseEach, leastPause and mostPause give the time in which the changes of
+	// other nodes gather. In a fleet that is stopped and started in turn, each
+	// change would otherwise cost a call of each node. A new target waits for
+	// its first request that long, so that the bound is a few seconds.
+	pauseEach  = 25 * time.Millisecond
+	leastPause = time.Second
+	mostPause  = 3 * time.Second
+)
+
+// Pause returns the time from a change of one of the given number of nodes to
+// the next question for such changes.
+func Pause(nodes int) time.Duration {
+	return min(max(leastPause, time.Duration(nodes)*pauseEach), mostPause)
+}
+
 // Options are the settings of a Pace. Zero fields take the defaults, but for
 // Least and Rand, which are required.
 type Options struct {
--- a/core/process/dogpace/pace_test.go
+++ b/core/process/dogpace/pace_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// TestPause guards against new targets that small fleets find late, and against
+// calls that grow with the square of a fleet that is stopped and started in
+// turn.
+func TestPause(t *testing.T) {
+	for nodes, want := range map[int]time.Duration{
+		0: time.Second, 13: time.Second, 89: 2225 * time.Millisecond, 300: 3 * time.Second, 590: 3 * time.Second,
+	} {
+		if got := Pause(nodes); got != want {
+			t.Errorf("%d nodes: pause %v, want %v", nodes, got, want)
+		}
+	}
+}
+
 // TestFirstWait guards against a node that waits long before it has heard of
 // others.
 func TestFirstWait(t *testing.T) {
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -56,7 +56,8 @@
 		}
 	}
 	return &kindWatch{
-		kind: kind, wait: wait, pause: configPause, store: store, log: c.log,
+		pause: func() time.Duration { return configPause },
+		kind:  kind, wait: wait, store: store, log: c.log,
 		listed: func(objects []dogwoodford.Object) {
 			for _, o := range objects {
 				take(o)
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -7,6 +7,7 @@
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogpace"
 	"dogwoodford/io/process/doglog"
 )
 
@@ -89,7 +90,8 @@
 		s.put(e, o.Version)
 	}
 	return &kindWatch{
-		kind: targetKind, wait: func() time.Duration { return entriesWait }, pause: entriesPause, store: store, log: s.log,
+		kind: targetKind, wait: func() time.Duration { return entriesWait }, store: store, log: s.log,
+		pause: func() time.Duration { return dogpace.Pause(s.Nodes()) },
 		listed: func(objects []dogwoodford.Object) {
 			names := make([]string, 0, len(objects))
 			for _, o := range objects {
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -22,11 +22,9 @@
 	// entriesWait is the same for the entries of nodes. A longer wait saves
 	// calls; the answers of the other watch show that changes were missed.
 	entriesWait = 20 * time.Second
-	// configPause and entriesPause are the times from a change to the next
-	// watch, in which further changes gather. Without them, nodes that start
-	// together would each make a call for the entry of each other one.
-	configPause  = 200 * time.Millisecond
-	entriesPause = time.Second
+	// configPause is the time from a change of the configuration to the next
+	// watch, in which further changes gather.
+	configPause = 200 * time.Millisecond
 	// listTimeout bounds a list, which answers in milliseconds.
 	listTimeout = 1500 * time.Millisecond
 	// watchRetry is the pause after a failed call. It doubles up to
@@ -40,7 +38,7 @@
 type kindWatch struct {
 	kind  string
 	wait  func() time.Duration // How long the next watch waits for a change.
-	pause time.Duration        // From a change to the next watch.
+	pause func() time.Duration // From a change to the next watch.
 	store dogwoodford.Store
 	log   *logger
 	// listed takes all objects, changed one change.
@@ -108,7 +106,7 @@
 			w.seen(next)
 		}
 		if len(changes) > 0 {
-			dogserve.Pause(ctx, w.pause)
+			dogserve.Pause(ctx, w.pause())
 		}
 	}
 	return nil
