dogfleet: give warm targets their full share after a start of their node

Cause: a target whose node was stopped and started as planned counted as new and got its full share only after 3 s. With three targets of a service and two nodes stopped at a time the rest was overloaded meanwhile.

Change: the entry of a node says whether its target is still slow after its own start. Only then the share grows slowly.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -21,6 +21,11 @@
 	removeAfter = 30 * time.Second
 )
 
+// warmFor is the time for which a target counts as ready that was not started
+// lately. It exceeds the time over which new targets get their full share: one
+// whose node was started again takes all at once.
+const warmFor = time.Minute
+
 // Entry is what a node says of itself in the platform's store.
 type Entry struct {
 	Node       string            `json:"node"`
@@ -29,6 +34,8 @@
 	Peer       string            `json:"peer"` // IP address and port for other nodes.
 	State      dogwoodford.State `json:"state"`
 	Slots      int               `json:"slots"`
+	// Cold tells that the target has started so recently that it is still slow.
+	Cold bool `json:"cold,omitempty"`
 	// Crashes are the latest crashes of the node's target.
 	Crashes []dogcrash.Report `json:"crashes,omitempty"`
 }
@@ -36,7 +43,7 @@
 // Equal reports whether e and other say the same.
 func (e Entry) Equal(other Entry) bool {
 	return e.Node == other.Node && e.Service == other.Service && e.DataCentre == other.DataCentre &&
-		e.Peer == other.Peer && e.State == other.State && e.Slots == other.Slots &&
+		e.Peer == other.Peer && e.State == other.State && e.Slots == other.Slots && e.Cold == other.Cold &&
 		slices.EqualFunc(e.Crashes, other.Crashes, dogcrash.Report.Equal)
 }
 
@@ -73,6 +80,9 @@
 	}
 	if m.since.IsZero() || e.State == dogwoodford.Ready && m.entry.State != dogwoodford.Ready {
 		m.since = now
+		if !e.Cold {
+			m.since = now.Add(-warmFor)
+		}
 	}
 	m.entry, m.version = e, version
 	f.targets = nil
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -144,6 +144,35 @@
 	}
 }
 
+// TestSince guards against warm targets that get few requests after their node
+// was started again, and against cold ones that get their full share at once.
+func TestSince(t *testing.T) {
+	f := New()
+	now := time.Unix(1000, 0)
+	for i, tc := range []struct {
+		state dogwoodford.State
+		cold  bool
+		want  time.Duration // Age of the target's readiness; -1 if it is not ready.
+	}{
+		{dogwoodford.Ready, true, 0},
+		{dogwoodford.Ready, false, time.Second}, // No change of the state.
+		{dogwoodford.Draining, false, -1},
+		{dogwoodford.Ready, false, warmFor},
+		{dogwoodford.Draining, false, -1},
+		{dogwoodford.Ready, true, 0},
+	} {
+		now = now.Add(time.Second)
+		f.Put(now, Entry{Node: "a", Service: "s", Peer: "p", State: tc.state, Cold: tc.cold}, int64(i+1))
+		got := time.Duration(-1)
+		if targets := f.Targets(now); len(targets) > 0 {
+			got = now.Sub(targets[0].Since)
+		}
+		if got != tc.want {
+			t.Errorf("step %d: ready for %v, want %v", i, got, tc.want)
+		}
+	}
+}
+
 // TestDue guards against nodes that are asked twice at once, and against a
 // timer that runs on without requests in progress.
 func TestDue(t *testing.T) {
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -262,7 +262,7 @@
 		Peer: s.settings.Advertised, State: s.target.State(time.Now()),
 	}
 	if r, ok := s.target.Report(); ok {
-		e.Slots = r.Slots
+		e.Slots, e.Cold = r.Slots, s.cold(r)
 	}
 	e.Crashes = slices.Clone(s.crashes.own)
 	if s.stage >= guardClosed {
@@ -271,6 +271,17 @@
 	return e
 }
 
+// cold reports what the entry says of a ready target: whether it was still slow
+// after its start when the entry was written. It does not follow the target
+// afterwards, as each change of the entry is a write. It needs s.mu.
+func (s *state) cold(r dogtarget.Report) bool {
+	have, _, known := s.fleet.Entry(s.settings.Node)
+	if known && have.State == dogwoodford.Ready && have.Slots == r.Slots {
+		return have.Cold
+	}
+	return r.Cold > 0
+}
+
 // advance takes the node to a stage, unless it is past it.
 func (s *state) advance(to stage) {
 	s.mu.Lock()
