dogcrash: quarantine only a content that alone can be to blame

The first crashes come before anything has completed.

Ruled out: the killing requests themselves (they were recognised and refused); lost targets (all were back).

Change: a crash convicts a content only if no other one that has not completed was in progress at three crashes, too. An entry that has seen a content complete sends no digest with it, so that a guard that has not goes by the entry's knowledge.

--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -6,7 +6,8 @@
 // several crashes, and that no target is known to have completed, is
 // quarantined: nodes refuse it. Most contents in progress at a crash are
 // innocent; those that come again complete somewhere, and what has completed is
-// never quarantined.
+// never quarantined. If more than one could be to blame, none is quarantined,
+// as the innocent ones complete before long.
 //
 // Guard belongs to one target and remembers what may have crashed it. Table
 // holds the reports of all nodes.
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -42,6 +42,13 @@
 	s.crashes.table.Completed(digest)
 }
 
+// Known implements dogrelay.Crashes.
+func (s *state) Known(digest uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.table.Known(digest)
+}
+
 // Quarantined implements dogrelay.Crashes.
 func (s *state) Quarantined(digest uint64) time.Duration {
 	s.mu.Lock()
@@ -77,7 +84,7 @@
 }
 
 func (s *state) convict(r dogcrash.Report) {
-	for _, d := range s.crashes.table.Report(time.Now(), r) {
+	if d := s.crashes.table.Report(time.Now(), r); d != 0 {
 		s.log.event(doglog.DigestQuarantined, slog.String("digest", digestText(d)), slog.String("death", r.ID))
 	}
 }
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -21,7 +21,9 @@
 	deadline time.Time
 	source   *http.Request // Method, URL, host and headers of the caller.
 	body     *body
-	digest   uint64 // Content: caller, method, path and the start of the body.
+	// digest is that of the content: caller, method, path and the start of the
+	// body. It is 0 if the content is known not to crash targets.
+	digest uint64
 }
 
 // request returns the call as the decisions on admission and routing see it.
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -76,7 +76,11 @@
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
 	c.lineage = lineageOf(c, route, parent)
-	c.digest = digestOf(c.caller, r, b)
+	if c.digest = digestOf(c.caller, r, b); h.cfg.Crashes.Known(c.digest) {
+		// The guard may not know: it could have crashed before the content
+		// completed there.
+		c.digest = 0
+	}
 	if left := h.cfg.Crashes.Quarantined(c.digest); left > 0 {
 		return refused(dogwoodford.ReasonQuarantined, left), c
 	}
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -198,6 +198,12 @@
 	w.done = append(w.done, digest)
 }
 
+func (w *world) Known(digest uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Contains(w.done, digest)
+}
+
 func (w *world) Quarantined(digest uint64) time.Duration {
 	if w.barred != 0 && w.barred == digest {
 		return time.Minute
