--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -39,6 +39,15 @@
 
 func heldAttr(n int64) slog.Attr { return slog.Int64("held", n) }
 
+// contentAttr names the content as the events of crashes do; it is empty if the
+// content is known not to crash targets.
+func contentAttr(c *call) slog.Attr {
+	if c.digest == 0 {
+		return slog.String("digest", "")
+	}
+	return slog.String("digest", fmt.Sprintf("%016x", c.digest))
+}
+
 // loadAttr shows what a guard decided by.
 func loadAttr(l dogwoodford.Load) slog.Attr {
 	return slog.String("load", fmt.Sprintf("running=%d queued=%d limit=%d cutoff=%d", l.InFlight, l.Queued, l.Limit, l.Cutoff))
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -39,7 +39,7 @@
 	attrs := attrs{idAttr(id), reasonAttr(res.reason), outcomeAttr(res.outcome), tookAttr(time.Since(start)),
 		configAttr(h.cfg.Tables.Version())}
 	if c != nil {
-		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()))
+		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()), contentAttr(c))
 	}
 	if res.load != nil {
 		attrs = append(attrs, loadAttr(*res.load))
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -62,7 +62,7 @@
 	if res.outcome != dogwoodford.Ran {
 		h.cfg.Metrics.AddTo(dogmetric.GuardRefusals, string(res.reason), 1)
 		h.cfg.Log.Event(ctx, doglog.GuardRefused, idAttr(c.id), reasonAttr(res.reason), outcomeAttr(res.outcome),
-			loadAttr(load), leftAttr(c, time.Now()))
+			loadAttr(load), leftAttr(c, time.Now()), contentAttr(c))
 	}
 	return res
 }
