--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -3,12 +3,10 @@
 import (
 	"fmt"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
+	"dogwoodford/internal/dogscript"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -16,27 +14,7 @@
 // TestScripts runs the scripts of testdata. Each line has the second, the node,
 // what happens there, and what follows; all nodes hear of each report at once.
 func TestScripts(t *testing.T) {
-	ar, err := txtar.ParseFile("testdata/crashes.txtar")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range ar.Files {
-		t.Run(f.Name, func(t *testing.T) {
-			s := newScript()
-			var got strings.Builder
-			for line := range strings.Lines(string(f.Data)) {
-				step, _, _ := strings.Cut(strings.TrimSpace(line), " -> ")
-				got.WriteString(step)
-				if out := s.run(t, strings.Fields(step)); out != "" {
-					got.WriteString(" -> " + out)
-				}
-				got.WriteString("\n")
-			}
-			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
-				t.Errorf("mismatch (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.RunLines(t, "testdata/crashes.txtar", func() func(*testing.T, []string) string { return newScript().run })
 }
 
 // script is a fleet of nodes.
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
 
 	"dogwoodford"
+	"dogwoodford/internal/dogscript"
 )
 
 // TestSilence guards against a node that waits long for one that has gone
@@ -45,23 +45,10 @@
 // go to nodes that are gone, and against entries of gone nodes that stay for
 // ever. After "->" stand the targets, the nodes to probe and those to remove.
 func TestScripts(t *testing.T) {
-	ar, err := txtar.ParseFile("testdata/fleet.txtar")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, file := range ar.Files {
-		t.Run(file.Name, func(t *testing.T) {
-			f := New()
-			var got strings.Builder
-			for line := range strings.Lines(string(file.Data)) {
-				event, _, _ := strings.Cut(line, "->")
-				fmt.Fprintf(&got, "%s-> %s\n", event, step(t, f, strings.Fields(event)))
-			}
-			if diff := cmp.Diff(string(file.Data), got.String()); diff != "" {
-				t.Errorf("mismatch (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.RunLines(t, "testdata/fleet.txtar", func() func(*testing.T, []string) string {
+		f := New()
+		return func(t *testing.T, words []string) string { return step(t, f, words) }
+	})
 }
 
 var states = map[string]dogwoodford.State{
--- a/core/process/dogtarget/watch_test.go
+++ b/core/process/dogtarget/watch_test.go
@@ -1,37 +1,22 @@
 package dogtarget
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
+	"dogwoodford/internal/dogscript"
 )
 
 // TestScripts runs the scripts in testdata. Each guards against requests that
 // reach a target that is leaving, gone or another one. A line is the time, an
 // event, "->" and the state after it.
 func TestScripts(t *testing.T) {
-	ar, err := txtar.ParseFile("testdata/target.txtar")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range ar.Files {
-		t.Run(f.Name, func(t *testing.T) {
-			w := New(Options{Service: "rounds", Address: "10.0.0.1:80", Silence: 4500 * time.Millisecond})
-			var got strings.Builder
-			for line := range strings.Lines(string(f.Data)) {
-				event, _, _ := strings.Cut(line, "->")
-				fmt.Fprintf(&got, "%s-> %s\n", event, step(t, w, strings.Fields(event)))
-			}
-			if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
-				t.Errorf("mismatch (-want +got):\n%s", diff)
-			}
-		})
-	}
+	dogscript.RunLines(t, "testdata/target.txtar", func() func(*testing.T, []string) string {
+		w := New(Options{Service: "rounds", Address: "10.0.0.1:80", Silence: 4500 * time.Millisecond})
+		return func(t *testing.T, words []string) string { return step(t, w, words) }
+	})
 }
 
 // step applies one event and returns its effect, if any, and the state.
--- a/internal/dogscript/doc.go
+++ b/internal/dogscript/doc.go
@@ -2,7 +2,9 @@
 //
 // A script is a txtar file in testdata. Its comment says which failure it guards
 // against. The file "script" holds one command per line, the file "want" the
-// commands with their results. The flag -update writes the results.
+// commands with their results. The flag -update writes the results. Short
+// scripts, whose commands have one result each, stand in one archive with the
+// results in the same line; RunLines runs these.
 //
 // # Usage
 //
