--- a/core/process/dogbudget/budget_test.go
+++ b/core/process/dogbudget/budget_test.go
@@ -48,10 +48,30 @@
 	}
 }
 
+// second is what all nodes sent in one second, by service.
+type second struct {
+	first, repeat map[string]int
+}
+
+// play sends requests to the first service of the tree for some seconds.
+func (f *fleet) play(seconds, perSecond int) []second {
+	out := make([]second, seconds)
+	for s := range out {
+		out[s] = second{first: make(map[string]int), repeat: make(map[string]int)}
+		f.first, f.repeat = out[s].first, out[s].repeat
+		for i := range perSecond {
+			f.now = time.Unix(int64(s), int64(i)*int64(time.Second)/int64(perSecond))
+			f.run(0, false)
+		}
+	}
+	return out
+}
+
 // TestTree guards against further attempts that together exceed the budget of a
 // service in some window. Pattern: every target of a call tree four levels deep
 // fails, so that each node asks for one more attempt after each.
 func TestTree(t *testing.T) {
+	const window = 10 // Seconds.
 	for _, tc := range []struct {
 		nodes, perSecond int
 		slack            float64
@@ -62,22 +82,13 @@
 			o.Slack = tc.slack
 			f.budgets = append(f.budgets, New(o))
 		}
-		const seconds = 40
-		var first, repeat [seconds]map[string]int
-		for s := range seconds {
-			first[s], repeat[s] = make(map[string]int), make(map[string]int)
-			f.first, f.repeat = first[s], repeat[s]
-			for i := range tc.perSecond {
-				f.now = time.Unix(int64(s), int64(i)*int64(time.Second)/int64(tc.perSecond))
-				f.run(0, false)
-			}
-		}
+		played := f.play(40, tc.perSecond)
 		for _, level := range tree {
-			for s := 0; s+10 <= seconds; s++ {
+			for s := 0; s+window <= len(played); s++ {
 				requests, attempts := 0, 0
-				for i := s; i < s+10; i++ {
-					requests += first[i][level.service]
-					attempts += repeat[i][level.service]
+				for _, x := range played[s : s+window] {
+					requests += x.first[level.service]
+					attempts += x.repeat[level.service]
 				}
 				if most := options.Ratio*float64(requests) + tc.slack; float64(attempts) > most {
 					t.Errorf("%d nodes, window at %d s: %d further attempts at %s for %d requests, want at most %.0f",
--- a/core/process/dogpace/pace_test.go
+++ b/core/process/dogpace/pace_test.go
@@ -72,39 +72,53 @@
 func TestFleet(t *testing.T) {
 	for _, nodes := range []int{30, 89, 300, 590} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
-			const end = 60 * time.Second
-			// Questions by tenths of a second.
-			var asked [int(end / (100 * time.Millisecond))]int
-			calls := 0
-			for i := range nodes {
-				p := newPace(uint64(i))
-				for at := time.Duration(0); at < end; {
-					asked[at/(100*time.Millisecond)]++
-					calls++
-					wait := p.Wait(start.Add(at), nodes)
-					for range int(wait.Seconds()*leastHeard) + 1 {
-						p.Heard()
-					}
-					at += wait
-				}
-			}
-			gap, longest := 0, 0
-			for _, n := range asked[200:] {
-				if gap++; n > 0 {
-					gap = 0
-				}
-				longest = max(longest, gap)
+			asked := questions(nodes)
+			if gap := longestGap(asked[200:]); gap > 10 {
+				t.Errorf("%d tenths of a second without a question, want at most a second", gap)
 			}
-			if longest > 10 {
-				t.Errorf("%d tenths of a second without a question, want at most a second", longest)
+			calls := 0
+			for _, n := range asked {
+				calls += n
 			}
-			if perSecond := float64(calls) / end.Seconds(); perSecond > float64(nodes)/5 && perSecond > 20 {
+			if perSecond := float64(calls) / (float64(len(asked)) / 10); perSecond > float64(nodes)/5 && perSecond > 20 {
 				t.Errorf("%.0f calls a second of %d nodes", perSecond, nodes)
 			}
 		})
 	}
 }
 
+// questions returns the number of questions of all nodes in each tenth of a
+// second of a minute. All start at once, hear enough of each other, and no watch
+// hears of a change.
+func questions(nodes int) []int {
+	const end, step = 60 * time.Second, 100 * time.Millisecond
+	asked := make([]int, end/step)
+	for i := range nodes {
+		p := newPace(uint64(i))
+		for at := time.Duration(0); at < end; {
+			asked[at/step]++
+			wait := p.Wait(start.Add(at), nodes)
+			for range int(wait.Seconds()*leastHeard) + 1 {
+				p.Heard()
+			}
+			at += wait
+		}
+	}
+	return asked
+}
+
+// longestGap returns the length of the longest run of zeros.
+func longestGap(asked []int) int {
+	gap, longest := 0, 0
+	for _, n := range asked {
+		if gap++; n > 0 {
+			gap = 0
+		}
+		longest = max(longest, gap)
+	}
+	return longest
+}
+
 func BenchmarkWait(b *testing.B) {
 	for _, nodes := range []int{13, 590} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
--- a/core/process/dogpressure/bench_test.go
+++ b/core/process/dogpressure/bench_test.go
@@ -15,23 +15,8 @@
 	for _, nodes := range []int{5, 20, 100} {
 		tab := newTable()
 		rep := Report{Own: 2 * dogwoodford.RankCount, Below: dogwoodford.RankCount}
-		names := make([]string, nodes)
-		for i := range names {
-			names[i] = fmt.Sprint("depot-", i)
-		}
-		reqs := make([]dogwoodford.Request, 20)
-		for i := range reqs {
-			reqs[i] = request("depot", fmt.Sprint("class-", i), 7, 0)
-			for _, n := range names {
-				tab.Reported(start, reqs[i], n, rep)
-			}
-		}
 		refreshed := New(Options{Rand: rand.New(rand.NewPCG(1, 1)), Refresh: 20 * time.Millisecond})
-		for _, r := range reqs {
-			for _, n := range names {
-				refreshed.Reported(start, r, n, rep)
-			}
-		}
+		names, reqs := reported(nodes, rep, tab, refreshed)
 		for name, f := range map[string]func(i int){
 			"AdmitRefreshed": func(i int) {
 				refreshed.Admit(start.Add(time.Duration(i)*time.Millisecond), reqs[i%len(reqs)])
@@ -49,3 +34,22 @@
 		}
 	}
 }
+
+// reported makes nodes report on 20 classes to the tables. It returns the names
+// of the nodes and a request of each class.
+func reported(nodes int, rep Report, tables ...*Table) ([]string, []dogwoodford.Request) {
+	names := make([]string, nodes)
+	for i := range names {
+		names[i] = fmt.Sprint("depot-", i)
+	}
+	reqs := make([]dogwoodford.Request, 20)
+	for i := range reqs {
+		reqs[i] = request("depot", fmt.Sprint("class-", i), 7, 0)
+		for _, n := range names {
+			for _, t := range tables {
+				t.Reported(start, reqs[i], n, rep)
+			}
+		}
+	}
+	return names, reqs
+}
