--- a/core/process/dogpressure/table.go
+++ b/core/process/dogpressure/table.go
@@ -137,18 +137,15 @@
 	}
 	calls[r.Service()] = now
 	admitted := r.Priority() >= t.cutoff(now, r.Service(), c) || t.opts.Rand.IntN(t.opts.ProbeIn) == 0
-	wait := t.retryAfter(now, demand{service: r.Service(), class: c}, !admitted)
+	s := t.record(now, demand{service: r.Service(), class: c}, !admitted)
 	if admitted {
 		return dogwoodford.RunVerdict()
 	}
-	return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, wait)
+	return dogwoodford.RefuseVerdict(dogwoodford.ReasonOverload, t.retryAfter(s))
 }
 
-// retryAfter records a request and returns the hint for it if it is refused.
-func (t *Table) retryAfter(now time.Time, d demand, refused bool) time.Duration {
-	if !t.opts.RetryByShare {
-		return time.Second + time.Duration(t.opts.Rand.Int64N(int64(time.Second)))
-	}
+// record counts a request for the hint to the next one that is refused.
+func (t *Table) record(now time.Time, d demand, refused bool) *share {
 	s := t.shares[d]
 	if s == nil {
 		if len(t.shares) >= maxCutoffs {
@@ -158,8 +155,13 @@
 		t.shares[d] = s
 	}
 	s.record(now, refused)
-	if !refused {
-		return 0
+	return s
+}
+
+// retryAfter returns the hint to a request that is refused.
+func (t *Table) retryAfter(s *share) time.Duration {
+	if !t.opts.RetryByShare {
+		return time.Second + time.Duration(t.opts.Rand.Int64N(int64(time.Second)))
 	}
 	// Half of the hint is left to chance, so that callers that were refused
 	// together do not come back together.
