doghttp: do not answer 'not run' after an attempt that may have run

The first attempt ended as unknown just before the deadline, the connection to the next target found no time left, and the answer of the last attempt was passed on.

Ruled out: the stage of the first attempt (its bytes were counted as written).

Change: a refusal as not run does not replace the answer of an attempt that may have run, as in dogrelay.

--- a/io/request/doghttp/send.go
+++ b/io/request/doghttp/send.go
@@ -34,20 +34,35 @@
 				h.cfg.Router.Answered(t.Node, 0, false, nil)
 				return last
 			}
-			last.finish(aborted)
 		}
 		h.cfg.Counters.Attempted(c.role, t, n)
 		// A non-idempotent call has no further attempt after a lost answer, so
 		// there is nothing to hold units back for.
 		share := ledger.Attempt(!c.spec.Idempotent)
-		last = h.attempt(ctx, c, t, share)
-		if !again(ctx, c, last) || !c.body.replayable() {
+		next := h.attempt(ctx, c, t, share)
+		last = better(last, next)
+		if !again(ctx, c, next) || !c.body.replayable() {
 			return last
 		}
 		tried = append(tried, t.Node)
 	}
 }
 
+// better returns what the caller gets of two answers, the later of which is
+// next, and ends the other; last is nil before the first attempt. A refusal as
+// not run would not be true after an attempt that may have run.
+func better(last, next *answer) *answer {
+	if last == nil {
+		return next
+	}
+	if next.info.Outcome == dogwoodford.NotRun && last.info.Outcome == dogwoodford.Unknown {
+		next.finish(aborted)
+		return last
+	}
+	last.finish(aborted)
+	return next
+}
+
 // attempt sends c to the guard of t.
 func (h *Handlers) attempt(ctx context.Context, c *call, t dogwoodford.Target, share *dogretry.Share) *answer {
 	start := time.Now()
