--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	$(GO) test -race -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
 	$(GO) test -count=1 -run '^TestTraces' ./core/process/dogreplay
 	@if [ -n "$(RED)" ]; then cat KNOWN-RED.txt; \
-	$(GO) test -race -count=1 -run '^($(RED))$$' ./test/processes >/dev/null 2>&1 && \
+	$(GO) test -race -count=1 -run '^($(RED))$$' ./... >/dev/null 2>&1 && \
 	echo "known red: $(RED): passed this time" || echo "known red: $(RED): failed"; fi
 
 # Prints the input format of benchstat: make bench >new.txt. BenchmarkFleet
