dogcrash: report the contents that started last

Cause: a report of a crash was cut to 64 digests in no order, before those that had completed were taken out.

Change: the report has all contents in progress, the one that started last first; what has completed is taken out, and only then it is cut. A content crashes its target when it begins to run, so that the cause is among the last. Event 1202 says how many were in progress, had completed and were left out, which logs could not tell before.

--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -18,7 +18,7 @@
 //	g.Start(id, digest)
 //	g.End(now, id, unanswered)
 //	if report, ok := g.RecordCrash(now); ok {
-//		table.AddReport(now, table.WithoutCompleted(report)) // Also send it to the other nodes.
+//		table.AddReport(now, table.WithoutCompleted(report).Newest()) // Also send it to the other nodes.
 //	}
 //	if left := table.QuarantineRemaining(now, digest); left > 0 {
 //		// Answer "not run".
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -69,7 +69,7 @@
 
 func (s *script) crash(now time.Time, node string) string {
 	r, ok := s.guards[node].RecordCrash(now)
-	if r = s.tables[node].WithoutCompleted(r); !ok || len(r.Digests) == 0 {
+	if r = s.tables[node].WithoutCompleted(r).Newest(); !ok || len(r.Digests) == 0 {
 		return "nothing"
 	}
 	for _, t := range s.tables {
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -312,7 +312,7 @@
 // detect makes the guard report the crash of its target to all nodes.
 func (f *simFleet) detect(at *simNode) {
 	r, ok := at.guard.RecordCrash(f.now)
-	if r = at.table.WithoutCompleted(r); !ok || len(r.Digests) == 0 {
+	if r = at.table.WithoutCompleted(r).Newest(); !ok || len(r.Digests) == 0 {
 		return
 	}
 	for _, n := range f.nodes {
--- a/core/process/dogcrash/guard.go
+++ b/core/process/dogcrash/guard.go
@@ -1,7 +1,9 @@
 package dogcrash
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,8 +14,7 @@
 	// break before the target refuses new ones or its replacement sends a
 	// heartbeat.
 	brokenWindow = 5 * time.Second
-	// MaxDigests bounds the digests of one report. Those of requests whose
-	// connection broke take precedence.
+	// MaxDigests bounds the digests of one report.
 	MaxDigests = 64
 )
 
@@ -23,6 +24,15 @@
 	Digests []uint64 `json:"digests"`
 }
 
+// Newest returns r with at most MaxDigests digests, sorted. r must have the digest of
+// the request that started last first: a content crashes its target when it begins to
+// run, so that the cause is most probably among the requests that started last.
+func (r Report) Newest() Report {
+	r.Digests = slices.Clone(r.Digests[:min(len(r.Digests), MaxDigests)])
+	slices.Sort(r.Digests)
+	return r
+}
+
 // Equal reports whether r and other have the same ID and digests.
 func (r Report) Equal(other Report) bool {
 	return r.ID == other.ID && slices.Equal(r.Digests, other.Digests)
@@ -31,39 +41,48 @@
 // Guard tracks the requests that may crash one target.
 type Guard struct {
 	name    string
-	running map[string]uint64
+	running map[string]dispatch
 	broken  []broken // Requests that ended without an answer, by time.
+	started int      // Requests started so far.
 	crashes int
 }
 
-type broken struct {
+// dispatch is one request that was sent to the target.
+type dispatch struct {
 	digest uint64
-	at     time.Time
+	order  int // Position among all requests that were started.
+}
+
+// broken is a request whose connection broke before the answer.
+type broken struct {
+	dispatch
+	at time.Time
 }
 
 // NewGuard returns a guard with nothing in progress. The name becomes part of the
 // IDs of its reports and must be unique to one process of one node.
-func NewGuard(name string) *Guard { return &Guard{name: name, running: make(map[string]uint64)} }
+func NewGuard(name string) *Guard { return &Guard{name: name, running: make(map[string]dispatch)} }
 
 // Start records that a request with this id and digest is sent to the target.
 // Requests with a zero digest are not tracked.
 func (g *Guard) Start(id string, digest uint64) {
 	if digest != 0 {
-		g.running[id] = digest
+		g.started++
+		g.running[id] = dispatch{digest: digest, order: g.started}
 	}
 }
 
 // End records the end of a request; unanswered reports whether its connection broke
 // before the answer.
 func (g *Guard) End(now time.Time, id string, unanswered bool) {
-	digest, ok := g.running[id]
+	d, ok := g.running[id]
 	if !ok {
 		return
 	}
 	delete(g.running, id)
 	g.dropOldBroken(now)
 	if unanswered {
-		g.broken = append(g.broken, broken{digest: digest, at: now})
+		g.broken = append(g.broken, broken{dispatch: d, at: now})
 	}
 }
 
@@ -74,24 +93,23 @@
 }
 
 // RecordCrash returns the report of a crash of the target and ends all requests in
-// progress. It returns false if there was none that could be the cause.
+// progress. The report has all distinct digests, that of the request that started
+// last first. RecordCrash returns false if there was none that could be the cause.
 func (g *Guard) RecordCrash(now time.Time) (Report, bool) {
 	g.dropOldBroken(now)
-	var digests []uint64
+	last := make(map[uint64]int) // Order of the last request, by digest.
 	for _, b := range g.broken {
-		digests = append(digests, b.digest)
+		last[b.digest] = max(last[b.digest], b.order)
 	}
 	for _, d := range g.running {
-		digests = append(digests, d)
+		last[d.digest] = max(last[d.digest], d.order)
 	}
-	digests = digests[:min(len(digests), MaxDigests)]
-	slices.Sort(digests)
-	digests = slices.Compact(digests)
 	g.broken = nil
 	clear(g.running)
-	if len(digests) == 0 {
+	if len(last) == 0 {
 		return Report{}, false
 	}
+	digests := slices.SortedFunc(maps.Keys(last), func(a, b uint64) int { return cmp.Compare(last[b], last[a]) })
 	g.crashes++
 	return Report{ID: fmt.Sprintf("%s/%d", g.name, g.crashes), Digests: digests}, true
 }
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -61,8 +61,13 @@
 // hold s.mu.
 func (s *state) targetCrashed() {
 	r, ok := s.crashes.guard.RecordCrash(time.Now())
-	s.log.event(doglog.TargetDied, slog.Int("in_progress", len(r.Digests)))
-	if r = s.crashes.table.WithoutCompleted(r); !ok || len(r.Digests) == 0 {
+	inProgress := len(r.Digests)
+	r = s.crashes.table.WithoutCompleted(r)
+	suspects := len(r.Digests)
+	r = r.Newest()
+	s.log.event(doglog.TargetDied, slog.Int("in_progress", inProgress), slog.Int("completed", inProgress-suspects),
+		slog.Int("left_out", suspects-len(r.Digests)))
+	if !ok || len(r.Digests) == 0 {
 		return
 	}
 	s.log.event(doglog.SuspectReported, slog.String("death", r.ID), slog.Any("digests", formatDigests(r.Digests)))
