dogrelay: an error response of a target is no proof that its content is harmless

Cause: any response of a target counted as a completion of the content, a 500 and the 504 at the deadline too. One such response at a node cleared the content there for good, also of crashes that came later.

Evidence: TestCrashes, script 500: guard and entry recorded one completion each, none is wanted. Ruled out: responses with a status below 500, which the target makes after its work.

Change: only responses below 500 count.

--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.admitAndSend(ctx, c, route, parent)
-	if res.outcome == dogwoodford.OutcomeRan {
+	if res.completed() {
 		h.cfg.Crashes.RecordCompletion(c.digest)
 	}
 	res.onClose(cancel)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -141,7 +141,7 @@
 	}
 	res := h.handleTargetResponse(ctx, c, t, resp)
 	h.cfg.Crashes.DispatchEnded(c.id, res.outcome == dogwoodford.OutcomeUnknown)
-	if res.outcome == dogwoodford.OutcomeRan {
+	if res.completed() {
 		h.cfg.Crashes.RecordCompletion(c.digest)
 	}
 	return res
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -163,9 +163,12 @@
 }
 
 // TestCrashes guards against confusing content that may have crashed a target
-// with content that completed, and against running quarantined content.
+// with content that completed, as after an error response of the target, and
+// against running quarantined content.
 func TestCrashes(t *testing.T) {
-	for script, want := range map[string][2]int{"reset": {1, 0}, "garbage": {1, 0}, "ok": {0, 1}, "shed": {0, 0}, "refuse": {0, 0}} {
+	for script, want := range map[string][2]int{
+		"reset": {1, 0}, "garbage": {1, 0}, "ok": {0, 1}, "500": {0, 0}, "shed": {0, 0}, "refuse": {0, 0},
+	} {
 		entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
 		guard := newTestNode(t, "guard", "rounds", script, time.Second)
 		entry.addGuards(guard)
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// completed reports whether the target ran the request to its end. A target that
+// answers 5xx may have stopped before the part that crashes it.
+func (r *result) completed() bool {
+	return r.outcome == dogwoodford.OutcomeRan && r.status < http.StatusInternalServerError
+}
+
 // targetFailed reports whether the target answered 5xx and none of its child
 // calls failed, which would be the likely cause.
 func (r *result) targetFailed() bool {
