dogcrash: a completion clears the crashes before it, not those after it

Cause: a content that had completed once at a node was harmless there for good. The entry took its digest out of the call, so that the guard did not even track it: no report named it, and no node refused it, for as long as it was sent. What was harmless may crash targets after a release or under another configuration.

Change: crashes count from the last completion on. A node that reports a crash lists what had completed there since the last one as doubtful; that does not count yet, so that popular contents are not quarantined when many targets end at once. Without a completion since, the next crash counts. Calls keep their digest, and a header of its own says that the entry knows of a completion: nodes of earlier builds ignore it.

--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -5,9 +5,14 @@
 // contents, identified by digests, were in progress when its target crashed. A
 // content that was in progress at several crashes, and that no target is known to
 // have completed, is quarantined: nodes refuse it. Most contents in progress at a
-// crash are harmless. Those that are sent again complete somewhere, and a content
-// that has completed is never quarantined. If several contents could be the
-// cause, none is quarantined, as the harmless ones complete before long.
+// crash are harmless. Those that are sent again complete somewhere, which clears
+// them. If several contents could be the cause, none is quarantined, as the harmless
+// ones complete before long.
+//
+// A completion cancels the crashes before it, not those after it: what was harmless
+// may crash targets after a release, or under another configuration. A node that
+// reports a crash lists what had completed there before as doubtful, which does not
+// count yet; without a completion since, the next crash does.
 //
 // Guard belongs to one target and tracks the contents that may crash it. Table
 // holds the reports of all nodes.
@@ -18,7 +23,7 @@
 //	g.Start(id, digest)
 //	g.End(now, id, unanswered)
 //	if report, ok := g.RecordCrash(now); ok {
-//		table.AddReport(now, table.WithoutCompleted(report).Newest()) // Also send it to the other nodes.
+//		table.AddReport(now, table.Split(report).Newest()) // Also send it to the other nodes.
 //	}
 //	if left := table.QuarantineRemaining(now, digest); left > 0 {
 //		// Answer "not run".
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -69,13 +69,16 @@
 
 func (s *script) crash(now time.Time, node string) string {
 	r, ok := s.guards[node].RecordCrash(now)
-	if r = s.tables[node].WithoutCompleted(r).Newest(); !ok || len(r.Digests) == 0 {
+	if r = s.tables[node].Split(r).Newest(); !ok || r.Empty() {
 		return "nothing"
 	}
 	for _, t := range s.tables {
 		t.AddReport(now, r)
 		t.AddReport(now, r) // A node reads the same report more than once from the entry of another.
 	}
+	if len(r.Doubtful) > 0 {
+		return fmt.Sprint(r.ID, " ", r.Digests, " doubtful ", r.Doubtful)
+	}
 	return fmt.Sprint(r.ID, " ", r.Digests)
 }
 
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -265,14 +265,12 @@
 // send passes a request through the entry and a guard. run is called when it runs at a
 // target, refuse when it is refused because of crashes.
 func (f *simFleet) send(entry *simNode, service int, digest uint64, run func(simRequest, *simNode), refuse func()) {
-	if entry.table.HasCompleted(digest) {
-		digest = 0
-	}
 	at := f.target(service)
 	if at == nil {
 		return
 	}
-	if entry.table.QuarantineRemaining(f.now, digest) > 0 || at.table.QuarantineRemaining(f.now, digest) > 0 {
+	cleared := entry.table.HasCompleted(digest)
+	if entry.table.QuarantineRemaining(f.now, digest) > 0 || !cleared && at.table.QuarantineRemaining(f.now, digest) > 0 {
 		refuse()
 		return
 	}
@@ -312,7 +310,7 @@
 // detect makes the guard report the crash of its target to all nodes.
 func (f *simFleet) detect(at *simNode) {
 	r, ok := at.guard.RecordCrash(f.now)
-	if r = at.table.WithoutCompleted(r).Newest(); !ok || len(r.Digests) == 0 {
+	if r = at.table.Split(r).Newest(); !ok || r.Empty() {
 		return
 	}
 	for _, n := range f.nodes {
--- a/core/process/dogcrash/guard.go
+++ b/core/process/dogcrash/guard.go
@@ -14,28 +14,42 @@
 	// break before the target refuses new ones or its replacement sends a
 	// heartbeat.
 	brokenWindow = 5 * time.Second
-	// MaxDigests bounds the digests of one report.
+	// MaxDigests bounds each list of digests of one report.
 	MaxDigests = 64
 )
 
 // Report lists the contents that were in progress at one crash of a target.
 type Report struct {
-	ID      string   `json:"id"` // Unique name of the crash.
-	Digests []uint64 `json:"digests"`
+	ID      string   `json:"id"`      // Unique name of the crash.
+	Digests []uint64 `json:"digests"` // Contents that count.
+	// Doubtful are contents that had completed before at the node that reports.
+	Doubtful []uint64 `json:"doubtful,omitempty"`
 }
 
-// Newest returns r with at most MaxDigests digests, sorted. r must have the digest of
-// the request that started last first: a content crashes its target when it begins to
-// run, so that the cause is most probably among the requests that started last.
+// Empty reports whether r names no content.
+func (r Report) Empty() bool { return len(r.Digests) == 0 && len(r.Doubtful) == 0 }
+
+// Bounded reports whether r is within the bounds of a report.
+func (r Report) Bounded() bool { return len(r.Digests) <= MaxDigests && len(r.Doubtful) <= MaxDigests }
+
+// Newest returns r with at most MaxDigests digests in each list, sorted. The lists of r
+// must have the digest of the request that started last first: a content crashes its
+// target when it begins to run, so that the cause is most probably among the requests
+// that started last.
 func (r Report) Newest() Report {
-	r.Digests = slices.Clone(r.Digests[:min(len(r.Digests), MaxDigests)])
-	slices.Sort(r.Digests)
+	r.Digests, r.Doubtful = newest(r.Digests), newest(r.Doubtful)
 	return r
 }
 
-// Equal reports whether r and other have the same ID and digests.
+func newest(digests []uint64) []uint64 {
+	out := slices.Clone(digests[:min(len(digests), MaxDigests)])
+	slices.Sort(out)
+	return out
+}
+
+// Equal reports whether r and other have the same ID and contents.
 func (r Report) Equal(other Report) bool {
-	return r.ID == other.ID && slices.Equal(r.Digests, other.Digests)
+	return r.ID == other.ID && slices.Equal(r.Digests, other.Digests) && slices.Equal(r.Doubtful, other.Doubtful)
 }
 
 // Guard tracks the requests that may crash one target.
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -36,9 +36,11 @@
 	completed, olderCompleted map[uint64]struct{}
 }
 
+// count holds what is known of one content since it last completed.
 type count struct {
 	crashes int
-	last    time.Time
+	last    time.Time     // Last crash with the content in progress.
+	doubted bool          // In progress at a crash, and not completed since.
 	length  time.Duration // Of the current or last quarantine; 0 if there was none.
 	until   time.Time     // End of the quarantine.
 }
@@ -62,16 +64,14 @@
 	t.expire(now)
 	t.reports[r.ID] = now
 	t.order = append(t.order, r.ID)
+	for _, d := range r.Doubtful {
+		t.doubt(now, d)
+	}
 	var suspects []uint64
 	for _, d := range r.Digests {
-		c := t.counts[d]
-		if c == nil {
-			c = &count{}
-			t.counts[d] = c
-		}
+		c := t.doubt(now, d)
 		c.crashes++
-		c.last = now
-		if c.crashes >= quarantineThreshold && !t.HasCompleted(d) {
+		if c.crashes >= quarantineThreshold {
 			suspects = append(suspects, d)
 		}
 	}
@@ -82,6 +82,17 @@
 	return suspects[0]
 }
 
+// doubt records that a content was in progress at a crash.
+func (t *Table) doubt(now time.Time, digest uint64) *count {
+	c := t.counts[digest]
+	if c == nil {
+		c = &count{}
+		t.counts[digest] = c
+	}
+	c.last, c.doubted = now, true
+	return c
+}
+
 // quarantine starts the first or a further quarantine.
 func (c *count) quarantine(now time.Time) {
 	if c.length == 0 {
@@ -107,19 +118,24 @@
 }
 
 // RecordCompletion records that a target has completed the content with this
-// digest.
+// digest. The crashes before it no longer count, and a quarantine ends.
 func (t *Table) RecordCompletion(digest uint64) {
 	if digest == 0 {
 		return
 	}
+	delete(t.counts, digest)
 	t.completed[digest] = struct{}{}
 	if len(t.completed) >= maxCompleted/2 {
 		t.olderCompleted, t.completed = t.completed, make(map[uint64]struct{})
 	}
 }
 
-// HasCompleted reports whether a target is known to have completed a content.
+// HasCompleted reports whether a target is known to have completed a content since
+// the last crash at which it was in progress.
 func (t *Table) HasCompleted(digest uint64) bool {
+	if c := t.counts[digest]; c != nil && c.doubted {
+		return false
+	}
 	if _, ok := t.completed[digest]; ok {
 		return true
 	}
@@ -127,11 +143,20 @@
 	return ok
 }
 
-// WithoutCompleted returns r without the contents that are known to have
-// completed. A node reports only the remaining ones, as nodes that have just
-// started do not know which contents have completed.
-func (t *Table) WithoutCompleted(r Report) Report {
-	r.Digests = slices.DeleteFunc(slices.Clone(r.Digests), t.HasCompleted)
+// Split returns r with the contents that are known to have completed since their
+// last crash in Doubtful. They are most probably harmless, so that the first crash
+// does not count for them; but a content may begin to crash targets at any time, as
+// after a release of the target.
+func (t *Table) Split(r Report) Report {
+	var suspects, doubtful []uint64
+	for _, d := range r.Digests {
+		if t.HasCompleted(d) {
+			doubtful = append(doubtful, d)
+		} else {
+			suspects = append(suspects, d)
+		}
+	}
+	r.Digests, r.Doubtful = suspects, doubtful
 	return r
 }
 
@@ -139,7 +164,7 @@
 // quarantined.
 func (t *Table) QuarantineRemaining(now time.Time, digest uint64) time.Duration {
 	c := t.counts[digest]
-	if c == nil || t.HasCompleted(digest) {
+	if c == nil {
 		return 0
 	}
 	return max(0, c.until.Sub(now))
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -57,20 +57,20 @@
 }
 
 // targetCrashed records a crash of the node's target and reports the contents
-// that were in progress there, except those known to complete. The caller must
-// hold s.mu.
+// that were in progress there. The caller must hold s.mu.
 func (s *state) targetCrashed() {
 	r, ok := s.crashes.guard.RecordCrash(time.Now())
 	inProgress := len(r.Digests)
-	r = s.crashes.table.WithoutCompleted(r)
-	suspects := len(r.Digests)
+	r = s.crashes.table.Split(r)
+	completed := len(r.Doubtful)
 	r = r.Newest()
-	s.log.event(doglog.TargetDied, slog.Int("in_progress", inProgress), slog.Int("completed", inProgress-suspects),
-		slog.Int("left_out", suspects-len(r.Digests)))
-	if !ok || len(r.Digests) == 0 {
+	s.log.event(doglog.TargetDied, slog.Int("in_progress", inProgress), slog.Int("completed", completed),
+		slog.Int("left_out", inProgress-len(r.Digests)-len(r.Doubtful)))
+	if !ok || r.Empty() {
 		return
 	}
-	s.log.event(doglog.SuspectReported, slog.String("death", r.ID), slog.Any("digests", formatDigests(r.Digests)))
+	s.log.event(doglog.SuspectReported, slog.String("death", r.ID), slog.Any("digests", formatDigests(r.Digests)),
+		slog.Any("doubtful", formatDigests(r.Doubtful)))
 	s.crashes.ownReports = append(s.crashes.ownReports, r)
 	s.crashes.ownReports = s.crashes.ownReports[max(0, len(s.crashes.ownReports)-maxCrashes):]
 	s.recordCrash(r)
@@ -84,7 +84,7 @@
 		return // No node writes so many.
 	}
 	for _, r := range e.Crashes {
-		if len(r.Digests) <= dogcrash.MaxDigests {
+		if r.Bounded() {
 			s.recordCrash(r)
 		}
 	}
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -1,6 +1,7 @@
 package dogsidecar
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 		tc.end(s)
 		var got [][]uint64
 		for _, r := range s.entry().Crashes {
-			got = append(got, r.Digests)
+			got = append(got, slices.Sorted(slices.Values(r.Digests)))
 		}
 		if diff := cmp.Diff(tc.want, got); diff != "" {
 			t.Errorf("%s: reported crashes (-want +got):\n%s", tc.name, diff)
--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -42,7 +42,7 @@
 // digestAttr formats the digest as the events about crashes do. It is empty if
 // the content is known not to crash targets.
 func digestAttr(c *call) slog.Attr {
-	if c.digest == 0 {
+	if c.digest == 0 || c.cleared {
 		return slog.String("digest", "")
 	}
 	return slog.String("digest", fmt.Sprintf("%016x", c.digest))
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -22,8 +22,11 @@
 	source   *http.Request // The request as received: method, URL, host and headers.
 	body     *body
 	// digest identifies the content: caller, method, path and the start of the
-	// body. It is 0 if the content is known not to crash targets.
+	// body.
 	digest uint64
+	// cleared tells whether the entry knows that a target completed the content
+	// since the last crash at which it was in progress.
+	cleared bool
 }
 
 // request returns the description of c for admission and routing.
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -77,11 +77,8 @@
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
 	c.lineage = lineageOf(c, route, parent)
-	if c.digest = digestOf(c.caller, r, b); h.cfg.Crashes.HasCompleted(c.digest) {
-		// The guard may not know that the content has completed, as it could have
-		// crashed before the content completed there.
-		c.digest = 0
-	}
+	c.digest = digestOf(c.caller, r, b)
+	c.cleared = h.cfg.Crashes.HasCompleted(c.digest)
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.digest); remaining > 0 {
 		return refused(dogwoodford.ReasonQuarantined, remaining), c
 	}
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -115,7 +115,8 @@
 	if reason != dogwoodford.ReasonNone {
 		return refused(reason, 0)
 	}
-	if remaining := h.cfg.Crashes.QuarantineRemaining(c.digest); remaining > 0 {
+	// The entry may know of a completion that this node does not know of.
+	if remaining := h.cfg.Crashes.QuarantineRemaining(c.digest); remaining > 0 && !c.cleared {
 		return refused(dogwoodford.ReasonQuarantined, remaining)
 	}
 	now := time.Now()
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -21,6 +21,10 @@
 const (
 	headerCall   = dogcall.Prefix + "Call"
 	headerAnswer = dogcall.Prefix + "Answer"
+	// headerCleared is present if the entry knows that the content of the call
+	// completes. It is a header of its own because nodes of earlier builds reject
+	// a headerCall with more fields.
+	headerCleared = dogcall.Prefix + "Cleared"
 )
 
 // errPeerHeader is wrapped by all errors about the headers between nodes.
@@ -123,6 +127,9 @@
 	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
 		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.digest, c.lineage.class, h.cfg.Peer,
 		c.service, c.caller)}
+	if c.cleared {
+		out[headerCleared] = []string{"1"}
+	}
 }
 
 // parseCall returns the call that headerCall of r describes, without its body.
@@ -139,7 +146,7 @@
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
 		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0},
-		digest:  uint64(n[7]),
+		digest:  uint64(n[7]), cleared: r.Header.Get(headerCleared) != "",
 	}, nil
 }
 
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -260,7 +260,7 @@
 		id: "a1.b2", service: "rounds", caller: "billing", kind: dogtable.Upload, attempt: 2,
 		deadline: now.Add(300 * time.Millisecond),
 		lineage:  lineage{root: "a1", class: "sheet", priority: 5, hop: 1, retried: true},
-		digest:   1<<63 - 1,
+		digest:   1<<63 - 1, cleared: true,
 	}
 	r, err := http.NewRequest("GET", "http://h/", nil)
 	if err != nil {
