dogcrash: decide between contents that are suspected together

Cause: if several contents could be the cause of three crashes, none was quarantined, until a later crash left one. Two crashing contents, or one beside popular ones on targets that were down too often to complete them, stayed free.

Change: a report says which contents started last before the crash (the last three, and those within 10 ms). A content that was among them at three crashes is the cause; between equals the choice waits a second, and one that runs for a while first is found by its sixth crash. A quarantined content explains the crashes before which it had started, so that they no longer count for others.

--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -6,8 +6,11 @@
 // content that was in progress at several crashes, and that no target is known to
 // have completed, is quarantined: nodes refuse it. Most contents in progress at a
 // crash are harmless. Those that are sent again complete somewhere, which clears
-// them. If several contents could be the cause, none is quarantined, as the harmless
-// ones complete before long.
+// them. If several contents could be the cause, the one that started last most often
+// is quarantined, as a content crashes its target when it begins to run; between equals
+// the decision waits until the harmless ones had time to complete. A quarantined
+// content explains the crashes at which it was in progress, so that they do not count
+// for others.
 //
 // A completion cancels the crashes before it, not those after it: what was harmless
 // may crash targets after a release, or under another configuration. A node that
@@ -20,7 +23,7 @@
 // # Usage
 //
 //	g := dogcrash.NewGuard("rounds-1/1767225600000")
-//	g.Start(id, digest)
+//	g.Start(now, id, digest)
 //	g.End(now, id, unanswered)
 //	if report, ok := g.RecordCrash(now); ok {
 //		table.AddReport(now, table.Split(report).Newest()) // Also send it to the other nodes.
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -48,7 +49,7 @@
 	id := fmt.Sprint(node, digest)
 	switch w[2] {
 	case "starts":
-		s.guards[node].Start(id, digest)
+		s.guards[node].Start(now, id, digest)
 	case "breaks":
 		s.guards[node].End(now, id, true)
 	case "completes":
@@ -76,6 +77,9 @@
 		t.AddReport(now, r)
 		t.AddReport(now, r) // A node reads the same report more than once from the entry of another.
 	}
+	// The order in a report is that of the starts, and that of the results in the
+	// scripts the one of the digests.
+	r.Digests = slices.Sorted(slices.Values(r.Digests))
 	if len(r.Doubtful) > 0 {
 		return fmt.Sprint(r.ID, " ", r.Digests, " doubtful ", r.Doubtful)
 	}
@@ -119,12 +123,12 @@
 			ids := make([]string, running)
 			for i := range ids {
 				ids[i] = fmt.Sprint(i)
-				g.Start(ids[i], uint64(i+1))
+				g.Start(start, ids[i], uint64(i+1))
 			}
 			for i := 0; b.Loop(); i++ {
 				id := ids[i%running]
 				g.End(start, id, false)
-				g.Start(id, uint64(i+1))
+				g.Start(start, id, uint64(i+1))
 			}
 		})
 	}
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -44,6 +44,7 @@
 	callers  int           // Services whose nodes send the crashing contents.
 	good     time.Duration // Time for which the crashing contents do no harm.
 	herd     time.Duration // Time at which all targets of a service crash by themselves; 0 for never.
+	delay    time.Duration // Time from the start of a crashing content to the crash.
 	spread   time.Duration // Longest time that a report takes to reach another node.
 	unique   bool          // Harmless requests have a content of their own each.
 }
@@ -52,7 +53,7 @@
 func runFleets(t *testing.T, words []string) string {
 	t.Helper()
 	spec := fleetSpec{nodes: 16, services: 4, progress: 40, popular: 30, crashing: 1, pace: 300 * time.Millisecond,
-		length: 15 * time.Second, callers: 1, spread: 300 * time.Millisecond}
+		length: 15 * time.Second, callers: 1, delay: time.Millisecond, spread: 300 * time.Millisecond}
 	for _, w := range words {
 		name, value, ok := strings.Cut(w, "=")
 		if !ok && name == "unique" {
@@ -85,6 +86,8 @@
 			spec.good = d
 		case "herd":
 			spec.herd = d
+		case "delay":
+			spec.delay = d
 		case "spread":
 			spec.spread = d
 		default:
@@ -190,6 +193,7 @@
 func (f *simFleet) simulate() {
 	for _, n := range f.nodes {
 		f.sendHarmless(n)
+		f.settle(n)
 	}
 	for c := range f.spec.crashing {
 		f.after(500*time.Millisecond+time.Duration(c)*time.Millisecond, func() { f.sendCrashing(c) })
@@ -213,6 +217,14 @@
 	}
 }
 
+// settle lets the table of n decide on suspects each second.
+func (f *simFleet) settle(n *simNode) {
+	f.after(time.Second, func() {
+		n.table.Settle(f.now)
+		f.settle(n)
+	})
+}
+
 // exponential returns a random time with the given mean.
 func (f *simFleet) exponential(mean time.Duration) time.Duration {
 	return time.Duration(f.rnd.ExpFloat64() * float64(mean))
@@ -258,7 +270,7 @@
 			return
 		}
 		f.crashes[content] = append(f.crashes[content], f.now)
-		f.after(time.Millisecond, func() { f.crash(at) })
+		f.after(f.spec.delay, func() { f.crash(at) })
 	}, func() {})
 }
 
@@ -276,7 +288,7 @@
 	}
 	f.sent++
 	x := simRequest{id: fmt.Sprint(f.sent), digest: digest, entry: entry}
-	at.guard.Start(x.id, digest)
+	at.guard.Start(f.now, x.id, digest)
 	at.running[x.id] = x
 	run(x, at)
 }
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -1,6 +1,7 @@
 package dogcrash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,6 +17,12 @@
 	// leads to the next quarantine, which is quarantineGrowth times as long.
 	firstQuarantine  = 30 * time.Second
 	quarantineGrowth = 20
+	// lateThreshold is the number of crashes after which a content is quarantined that
+	// does not crash its target when it begins to run.
+	lateThreshold = 2 * quarantineThreshold
+	// settleTime is the time in which harmless contents among several suspected ones
+	// complete somewhere.
+	settleTime = time.Second
 	// crashRetention is the time for which a crash counts. It exceeds the length
 	// of the second quarantine.
 	crashRetention = 20 * time.Minute
@@ -28,19 +35,29 @@
 
 // Table holds the crashes of all targets that are known to one node.
 type Table struct {
-	reports map[string]time.Time // Time of arrival, by ID of the crash.
-	order   []string             // IDs in order of arrival.
-	counts  map[uint64]*count    // By digest.
+	reports map[string]known  // By ID of the crash.
+	order   []string          // IDs in order of arrival.
+	counts  map[uint64]*count // By digest.
 	// completed and olderCompleted are two generations of the contents that
 	// completed. When completed is full, it replaces olderCompleted.
 	completed, olderCompleted map[uint64]struct{}
 }
 
+// known is a report that the table has.
+type known struct {
+	at     time.Time // Time of arrival.
+	report Report
+}
+
 // count holds what is known of one content since it last completed.
 type count struct {
-	crashes int
+	crashes int           // Crashes that no quarantined content explains.
+	recent  int           // Those at which the content was among the requests that started last.
 	last    time.Time     // Last crash with the content in progress.
 	doubted bool          // In progress at a crash, and not completed since.
+	// suspected is the time since when the content and others could be the cause of
+	// their crashes; zero if it could not, or is quarantined.
+	suspected time.Time
 	length  time.Duration // Of the current or last quarantine; 0 if there was none.
 	until   time.Time     // End of the quarantine.
 }
@@ -48,40 +65,124 @@
 // NewTable returns a table without reports.
 func NewTable() *Table {
 	return &Table{
-		reports: make(map[string]time.Time), counts: make(map[uint64]*count),
+		reports: make(map[string]known), counts: make(map[uint64]*count),
 		completed: make(map[uint64]struct{}), olderCompleted: make(map[uint64]struct{}),
 	}
 }
 
 // AddReport adds the report of a crash. It returns the digest of the content that is
 // quarantined because of it, 0 if there is none. If several contents could be the
-// cause, none is quarantined: the harmless ones complete before long. A report
-// that is already known is ignored.
+// cause, it is the one that was most often among the requests that started last;
+// between equals, Settle decides after the harmless ones had time to complete. A
+// report that is already known is ignored.
 func (t *Table) AddReport(now time.Time, r Report) uint64 {
 	if _, known := t.reports[r.ID]; known {
 		return 0
 	}
 	t.expire(now)
-	t.reports[r.ID] = now
+	t.reports[r.ID] = known{at: now, report: r}
 	t.order = append(t.order, r.ID)
 	for _, d := range r.Doubtful {
 		t.doubt(now, d)
 	}
+	explained := slices.ContainsFunc(r.recent(), func(d uint64) bool { return t.QuarantineRemaining(now, d) > 0 })
 	var suspects []uint64
-	for _, d := range r.Digests {
+	for i, d := range r.Digests {
 		c := t.doubt(now, d)
+		if explained && c.length == 0 {
+			continue
+		}
 		c.crashes++
-		if c.crashes >= quarantineThreshold {
+		if i < len(r.recent()) {
+			c.recent++
+		}
+		if c.isSuspect() && !c.quarantined(now) {
 			suspects = append(suspects, d)
 		}
 	}
-	if len(suspects) != 1 || t.QuarantineRemaining(now, suspects[0]) > 0 {
+	return t.decide(now, suspects)
+}
+
+// isSuspect reports whether the content may be the cause of its crashes.
+func (c *count) isSuspect() bool {
+	return c.recent >= quarantineThreshold || c.crashes >= lateThreshold
+}
+
+// decide quarantines the most probable cause among suspects and returns its digest. If
+// none is more probable than the others, it returns 0 and leaves them to Settle.
+func (t *Table) decide(now time.Time, suspects []uint64) uint64 {
+	slices.SortFunc(suspects, t.compareSuspects)
+	switch {
+	case len(suspects) == 0:
 		return 0
+	case len(suspects) == 1, t.counts[suspects[0]].recent > t.counts[suspects[1]].recent:
+		t.quarantine(now, suspects[0])
+		return suspects[0]
 	}
-	t.counts[suspects[0]].quarantine(now)
-	return suspects[0]
+	for _, d := range suspects {
+		if c := t.counts[d]; c.suspected.IsZero() {
+			c.suspected = now
+		}
+	}
+	return 0
+}
+
+// compareSuspects orders suspects by how probably they are the cause, the most probable
+// one first.
+func (t *Table) compareSuspects(a, b uint64) int {
+	x, y := t.counts[a], t.counts[b]
+	return cmp.Or(cmp.Compare(y.recent, x.recent), cmp.Compare(y.crashes, x.crashes), cmp.Compare(a, b))
 }
 
+// Settle quarantines the most probable cause among the contents that have been
+// suspected for settleTime and have not completed meanwhile, and returns its digest, 0
+// if there is none.
+func (t *Table) Settle(now time.Time) uint64 {
+	var due []uint64
+	for d, c := range t.counts {
+		if !c.suspected.IsZero() && now.Sub(c.suspected) >= settleTime {
+			due = append(due, d)
+		}
+	}
+	if len(due) == 0 {
+		return 0
+	}
+	slices.SortFunc(due, t.compareSuspects)
+	t.quarantine(now, due[0])
+	return due[0]
+}
+
+// quarantine quarantines a content. It explains the crashes at which it was among the
+// requests that started last, so that they no longer count for other contents.
+func (t *Table) quarantine(now time.Time, digest uint64) {
+	t.counts[digest].quarantine(now)
+	for _, k := range t.reports {
+		recent := k.report.recent()
+		if !slices.Contains(recent, digest) {
+			continue
+		}
+		for i, d := range k.report.Digests {
+			if c := t.counts[d]; c != nil && d != digest {
+				c.explain(i < len(recent))
+			}
+		}
+	}
+}
+
+// explain takes back one crash; recent tells whether the content was among the requests
+// that started last.
+func (c *count) explain(recent bool) {
+	c.crashes = max(0, c.crashes-1)
+	if recent {
+		c.recent = max(0, c.recent-1)
+	}
+	if !c.isSuspect() {
+		c.suspected = time.Time{}
+	}
+}
+
+func (c *count) quarantined(now time.Time) bool { return now.Before(c.until) }
+
 // doubt records that a content was in progress at a crash.
 func (t *Table) doubt(now time.Time, digest uint64) *count {
 	c := t.counts[digest]
@@ -101,12 +202,13 @@
 		c.length = firstQuarantine * quarantineGrowth
 	}
 	c.until = now.Add(c.length)
+	c.suspected = time.Time{}
 }
 
 // expire removes the reports and counts that have expired, and the oldest reports
 // until there is room for another.
 func (t *Table) expire(now time.Time) {
-	for len(t.order) > 0 && (len(t.order) >= maxReports || now.Sub(t.reports[t.order[0]]) >= crashRetention) {
+	for len(t.order) > 0 && (len(t.order) >= maxReports || now.Sub(t.reports[t.order[0]].at) >= crashRetention) {
 		delete(t.reports, t.order[0])
 		t.order = slices.Delete(t.order, 0, 1)
 	}
@@ -149,14 +251,18 @@
 // after a release of the target.
 func (t *Table) Split(r Report) Report {
 	var suspects, doubtful []uint64
-	for _, d := range r.Digests {
+	recent := 0
+	for i, d := range r.Digests {
 		if t.HasCompleted(d) {
 			doubtful = append(doubtful, d)
-		} else {
-			suspects = append(suspects, d)
+			continue
+		}
+		suspects = append(suspects, d)
+		if i < r.Recent {
+			recent++
 		}
 	}
-	r.Digests, r.Doubtful = suspects, doubtful
+	r.Digests, r.Recent, r.Doubtful = suspects, recent, doubtful
 	return r
 }
 
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -25,7 +25,7 @@
 func (s *state) DispatchStarted(id string, digest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.guard.Start(id, digest)
+	s.crashes.guard.Start(time.Now(), id, digest)
 }
 
 // DispatchEnded implements dogrelay.Crashes.
@@ -93,8 +93,20 @@
 // recordCrash records a crash and logs the digest that it quarantines, if any.
 // The caller must hold s.mu.
 func (s *state) recordCrash(r dogcrash.Report) {
-	if d := s.crashes.table.AddReport(time.Now(), r); d != 0 {
-		s.log.event(doglog.DigestQuarantined, slog.String("digest", formatDigest(d)), slog.String("death", r.ID))
+	s.logQuarantined(s.crashes.table.AddReport(time.Now(), r), r.ID)
+}
+
+// settleSuspects decides on contents that were suspected together with others.
+// The caller must hold s.mu.
+func (s *state) settleSuspects() {
+	s.logQuarantined(s.crashes.table.Settle(time.Now()), "")
+}
+
+// logQuarantined logs a digest that was quarantined, unless it is 0. The death is
+// empty if the decision followed some time after the report.
+func (s *state) logQuarantined(digest uint64, death string) {
+	if digest != 0 {
+		s.log.event(doglog.DigestQuarantined, slog.String("digest", formatDigest(digest)), slog.String("death", death))
 	}
 }
 
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -320,10 +320,11 @@
 	return s.listed
 }
 
-// refresh updates the state of the target, which changes without an event when
-// heartbeats are missed.
+// refresh updates what changes without an event: the state of the target when
+// heartbeats are missed, and contents that are suspected together with others.
 func (s *state) refresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateTargetState()
+	s.settleSuspects()
 }
