dogcrash: count a crashing content over all callers too

Cause: the digest of a content had the caller in it, which is the service of the node where the request entered.

The soak did not see it, as it counted the runs by caller.

Change: a Detector counts each content for its caller and, with one crash more, for all callers. A content that crashes targets for one caller only is refused to that caller before it counts for all. The call carries the digest without the caller, and the guard adds it, so that the header between nodes stays as it was. The soak counts the runs of all callers together.

--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -18,17 +18,18 @@
 // count yet; without a completion since, the next crash does.
 //
 // Guard belongs to one target and tracks the contents that may crash it. Table
-// holds the reports of all nodes.
+// holds the reports of all nodes. Detector combines two of each, as a content may
+// crash targets for one caller or for all.
 //
 // # Usage
 //
-//	g := dogcrash.NewGuard("rounds-1/1767225600000")
-//	g.Start(now, id, digest)
-//	g.End(now, id, unanswered)
-//	if report, ok := g.RecordCrash(now); ok {
-//		table.AddReport(now, table.Split(report).Newest()) // Also send it to the other nodes.
+//	d := dogcrash.NewDetector("rounds-1/1767225600000")
+//	d.Start(now, id, content)
+//	d.End(now, id, unanswered)
+//	for _, r := range d.RecordCrash(now).Reports {
+//		d.AddReport(now, r) // Also send it to the other nodes.
 //	}
-//	if left := table.QuarantineRemaining(now, digest); left > 0 {
+//	if left := d.QuarantineRemaining(now, content); left > 0 {
 //		// Answer "not run".
 //	}
 //
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -28,7 +28,7 @@
 func newScript() *script {
 	s := &script{guards: make(map[string]*Guard), tables: make(map[string]*Table)}
 	for _, n := range []string{"a", "b", "c", "d"} {
-		s.guards[n], s.tables[n] = NewGuard(n), NewTable()
+		s.guards[n], s.tables[n] = NewGuard(n), NewTable(quarantineThreshold)
 	}
 	return s
 }
@@ -89,7 +89,7 @@
 // TestBounds guards against a table that grows without bound as crashes and completed
 // contents are added.
 func TestBounds(t *testing.T) {
-	tab := NewTable()
+	tab := NewTable(quarantineThreshold)
 	for i := range 4 * maxReports {
 		now := start.Add(time.Duration(i) * 10 * time.Second)
 		tab.AddReport(now, Report{ID: fmt.Sprint(i), Digests: []uint64{uint64(i + 1)}})
@@ -108,7 +108,7 @@
 }
 
 func ExampleTable() {
-	t := NewTable()
+	t := NewTable(quarantineThreshold)
 	for _, id := range []string{"rounds-1/1", "rounds-2/1", "rounds-3/1"} {
 		t.AddReport(start, Report{ID: id, Digests: []uint64{7}})
 	}
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -126,19 +126,18 @@
 
 // simNode is one node with its target.
 type simNode struct {
-	name    string
-	service int
-	guard   *Guard
-	table   *Table
-	down    bool
-	running map[string]simRequest
+	name     string
+	service  int
+	detector *Detector
+	down     bool
+	running  map[string]simRequest
 }
 
 // simRequest is one request in progress at a target.
 type simRequest struct {
-	id     string
-	digest uint64
-	entry  *simNode
+	id      string
+	content Content
+	entry   *simNode
 }
 
 // simEvent is a step that is due at a time.
@@ -179,7 +178,7 @@
 	for i := range spec.nodes {
 		name := fmt.Sprint("n", i)
 		f.nodes = append(f.nodes, &simNode{
-			name: name, service: i % spec.services, guard: NewGuard(name), table: NewTable(), running: make(map[string]simRequest),
+			name: name, service: i % spec.services, detector: NewDetector(name), running: make(map[string]simRequest),
 		})
 	}
 	return f
@@ -220,7 +219,7 @@
 // settle lets the table of n decide on suspects each second.
 func (f *simFleet) settle(n *simNode) {
 	f.after(time.Second, func() {
-		n.table.Settle(f.now)
+		n.detector.Settle(f.now)
 		f.settle(n)
 	})
 }
@@ -245,7 +244,7 @@
 	f.after(f.exponential(workTime/time.Duration(f.spec.progress)), func() {
 		f.sendHarmless(n)
 		service, content := f.rnd.IntN(f.spec.services), f.rnd.IntN(f.spec.popular)
-		digest := uint64(1 + 1000*n.service + 100_000*service + content)
+		digest := uint64(1 + 100_000*service + content)
 		if f.spec.unique {
 			digest = uint64(20_000_000 + f.sent)
 		}
@@ -263,7 +262,7 @@
 	for entry.service >= f.spec.callers {
 		entry = f.nodes[f.rnd.IntN(len(f.nodes))]
 	}
-	digest := uint64(10_000_000 + 1000*entry.service + content)
+	digest := uint64(10_000_000 + content)
 	f.send(entry, 0, digest, func(x simRequest, at *simNode) {
 		if f.now.Sub(start) < f.spec.good {
 			f.after(f.exponential(workTime), func() { f.complete(x, at) })
@@ -281,14 +280,15 @@
 	if at == nil {
 		return
 	}
-	cleared := entry.table.HasCompleted(digest)
-	if entry.table.QuarantineRemaining(f.now, digest) > 0 || !cleared && at.table.QuarantineRemaining(f.now, digest) > 0 {
+	c := Content{Shared: digest, Own: digest<<8 + uint64(entry.service) + 1}
+	cleared := entry.detector.HasCompleted(c)
+	if entry.detector.QuarantineRemaining(f.now, c) > 0 || !cleared && at.detector.QuarantineRemaining(f.now, c) > 0 {
 		refuse()
 		return
 	}
 	f.sent++
-	x := simRequest{id: fmt.Sprint(f.sent), digest: digest, entry: entry}
-	at.guard.Start(f.now, x.id, digest)
+	x := simRequest{id: fmt.Sprint(f.sent), content: c, entry: entry}
+	at.detector.Start(f.now, x.id, c)
 	at.running[x.id] = x
 	run(x, at)
 }
@@ -299,9 +299,9 @@
 		return
 	}
 	delete(at.running, x.id)
-	at.guard.End(f.now, x.id, false)
-	at.table.RecordCompletion(x.digest)
-	x.entry.table.RecordCompletion(x.digest)
+	at.detector.End(f.now, x.id, false)
+	at.detector.RecordCompletion(x.content)
+	x.entry.detector.RecordCompletion(x.content)
 }
 
 // crash ends the target of a node and, later, lets the guard detect it and the
@@ -312,7 +312,7 @@
 	}
 	at.down = true
 	for id := range at.running {
-		at.guard.End(f.now, id, true)
+		at.detector.End(f.now, id, true)
 	}
 	clear(at.running)
 	f.after(detectDelay, func() { f.detect(at) })
@@ -321,16 +321,13 @@
 
 // detect makes the guard report the crash of its target to all nodes.
 func (f *simFleet) detect(at *simNode) {
-	r, ok := at.guard.RecordCrash(f.now)
-	if r = at.table.Split(r).Newest(); !ok || r.Empty() {
-		return
-	}
-	for _, n := range f.nodes {
-		delay := time.Duration(f.rnd.Int64N(int64(f.spec.spread)))
-		if n == at {
-			delay = 0
+	for _, r := range at.detector.RecordCrash(f.now).Reports {
+		at.detector.AddReport(f.now, r)
+		for _, n := range f.nodes {
+			if n != at {
+				f.after(time.Duration(f.rnd.Int64N(int64(f.spec.spread))), func() { n.detector.AddReport(f.now, r) })
+			}
 		}
-		f.after(delay, func() { n.table.AddReport(f.now, r) })
 	}
 }
 
--- a/core/process/dogcrash/guard.go
+++ b/core/process/dogcrash/guard.go
@@ -34,6 +34,8 @@
 	// Recent is the number of leading digests whose requests started shortly before
 	// the crash.
 	Recent int `json:"recent,omitempty"`
+	// Shared tells whether the digests leave out the caller.
+	Shared bool `json:"shared,omitempty"`
 	// Doubtful are contents that had completed before at the node that reports.
 	Doubtful []uint64 `json:"doubtful,omitempty"`
 }
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -17,9 +17,9 @@
 	// leads to the next quarantine, which is quarantineGrowth times as long.
 	firstQuarantine  = 30 * time.Second
 	quarantineGrowth = 20
-	// lateThreshold is the number of crashes after which a content is quarantined that
-	// does not crash its target when it begins to run.
-	lateThreshold = 2 * quarantineThreshold
+	// lateFactor times the threshold is the number of crashes after which a content is
+	// quarantined that does not crash its target when it begins to run.
+	lateFactor = 2
 	// settleTime is the time in which harmless contents among several suspected ones
 	// complete somewhere.
 	settleTime = time.Second
@@ -35,9 +35,10 @@
 
 // Table holds the crashes of all targets that are known to one node.
 type Table struct {
-	reports map[string]known  // By ID of the crash.
-	order   []string          // IDs in order of arrival.
-	counts  map[uint64]*count // By digest.
+	threshold int               // Crashes after which a content is quarantined.
+	reports   map[string]known  // By ID of the crash.
+	order     []string          // IDs in order of arrival.
+	counts    map[uint64]*count // By digest.
 	// completed and olderCompleted are two generations of the contents that
 	// completed. When completed is full, it replaces olderCompleted.
 	completed, olderCompleted map[uint64]struct{}
@@ -51,21 +52,23 @@
 
 // count holds what is known of one content since it last completed.
 type count struct {
-	crashes int           // Crashes that no quarantined content explains.
-	recent  int           // Those at which the content was among the requests that started last.
-	last    time.Time     // Last crash with the content in progress.
-	doubted bool          // In progress at a crash, and not completed since.
+	crashes int       // Crashes that no quarantined content explains.
+	recent  int       // Those at which the content was among the requests that started last.
+	last    time.Time // Last crash with the content in progress.
+	doubted bool      // In progress at a crash, and not completed since.
 	// suspected is the time since when the content and others could be the cause of
 	// their crashes; zero if it could not, or is quarantined.
 	suspected time.Time
-	length  time.Duration // Of the current or last quarantine; 0 if there was none.
-	until   time.Time     // End of the quarantine.
+	length    time.Duration // Of the current or last quarantine; 0 if there was none.
+	until     time.Time     // End of the quarantine.
 }
 
-// NewTable returns a table without reports.
-func NewTable() *Table {
+// NewTable returns a table without reports that quarantines a content after threshold
+// crashes.
+func NewTable(threshold int) *Table {
 	return &Table{
-		reports: make(map[string]known), counts: make(map[uint64]*count),
+		threshold: threshold,
+		reports:   make(map[string]known), counts: make(map[uint64]*count),
 		completed: make(map[uint64]struct{}), olderCompleted: make(map[uint64]struct{}),
 	}
 }
@@ -96,7 +99,7 @@
 		if i < len(r.recent()) {
 			c.recent++
 		}
-		if c.isSuspect() && !c.quarantined(now) {
+		if t.isSuspect(c) && !c.quarantined(now) {
 			suspects = append(suspects, d)
 		}
 	}
@@ -104,8 +107,8 @@
 }
 
 // isSuspect reports whether the content may be the cause of its crashes.
-func (c *count) isSuspect() bool {
-	return c.recent >= quarantineThreshold || c.crashes >= lateThreshold
+func (t *Table) isSuspect(c *count) bool {
+	return c.recent >= t.threshold || c.crashes >= lateFactor*t.threshold
 }
 
 // decide quarantines the most probable cause among suspects and returns its digest. If
@@ -163,20 +166,20 @@
 		}
 		for i, d := range k.report.Digests {
 			if c := t.counts[d]; c != nil && d != digest {
-				c.explain(i < len(recent))
+				t.explain(c, i < len(recent))
 			}
 		}
 	}
 }
 
-// explain takes back one crash; recent tells whether the content was among the requests
+// explain takes back one crash of a content; recent tells whether the content was among the requests
 // that started last.
-func (c *count) explain(recent bool) {
+func (t *Table) explain(c *count, recent bool) {
 	c.crashes = max(0, c.crashes-1)
 	if recent {
 		c.recent = max(0, c.recent-1)
 	}
-	if !c.isSuspect() {
+	if !t.isSuspect(c) {
 		c.suspected = time.Time{}
 	}
 }
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -10,70 +10,64 @@
 	"dogwoodford/io/process/doglog"
 )
 
-// maxCrashes is the largest number of crashes in the entry of a node. A few of
+// maxCrashes is the largest number of reports in the entry of a node. A few of
 // them suffice to quarantine a content.
 const maxCrashes = 8
 
 // crashes tracks requests that crash targets.
 type crashes struct {
-	guard      *dogcrash.Guard
-	table      *dogcrash.Table
+	detector   *dogcrash.Detector
 	ownReports []dogcrash.Report // Latest crashes of the node's target, for its entry.
 }
 
 // DispatchStarted implements dogrelay.Crashes.
-func (s *state) DispatchStarted(id string, digest uint64) {
+func (s *state) DispatchStarted(id string, c dogcrash.Content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.guard.Start(time.Now(), id, digest)
+	s.crashes.detector.Start(time.Now(), id, c)
 }
 
 // DispatchEnded implements dogrelay.Crashes.
 func (s *state) DispatchEnded(id string, unanswered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.guard.End(time.Now(), id, unanswered)
+	s.crashes.detector.End(time.Now(), id, unanswered)
 }
 
 // RecordCompletion implements dogrelay.Crashes.
-func (s *state) RecordCompletion(digest uint64) {
+func (s *state) RecordCompletion(c dogcrash.Content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.table.RecordCompletion(digest)
+	s.crashes.detector.RecordCompletion(c)
 }
 
 // HasCompleted implements dogrelay.Crashes.
-func (s *state) HasCompleted(digest uint64) bool {
+func (s *state) HasCompleted(c dogcrash.Content) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.table.HasCompleted(digest)
+	return s.crashes.detector.HasCompleted(c)
 }
 
 // QuarantineRemaining implements dogrelay.Crashes.
-func (s *state) QuarantineRemaining(digest uint64) time.Duration {
+func (s *state) QuarantineRemaining(c dogcrash.Content) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.table.QuarantineRemaining(time.Now(), digest)
+	return s.crashes.detector.QuarantineRemaining(time.Now(), c)
 }
 
 // targetCrashed records a crash of the node's target and reports the contents
 // that were in progress there. The caller must hold s.mu.
 func (s *state) targetCrashed() {
-	r, ok := s.crashes.guard.RecordCrash(time.Now())
-	inProgress := len(r.Digests)
-	r = s.crashes.table.Split(r)
-	completed := len(r.Doubtful)
-	r = r.Newest()
-	s.log.event(doglog.TargetDied, slog.Int("in_progress", inProgress), slog.Int("completed", completed),
-		slog.Int("left_out", inProgress-len(r.Digests)-len(r.Doubtful)))
-	if !ok || r.Empty() {
-		return
+	c := s.crashes.detector.RecordCrash(time.Now())
+	s.log.event(doglog.TargetDied, slog.Int("in_progress", c.InProgress), slog.Int("completed", c.Completed),
+		slog.Int("left_out", c.LeftOut))
+	for _, r := range c.Reports {
+		s.log.event(doglog.SuspectReported, slog.String("death", r.ID), slog.Bool("shared", r.Shared),
+			slog.Any("digests", formatDigests(r.Digests)), slog.Any("doubtful", formatDigests(r.Doubtful)))
+		s.recordCrash(r)
 	}
-	s.log.event(doglog.SuspectReported, slog.String("death", r.ID), slog.Any("digests", formatDigests(r.Digests)),
-		slog.Any("doubtful", formatDigests(r.Doubtful)))
-	s.crashes.ownReports = append(s.crashes.ownReports, r)
+	s.crashes.ownReports = append(s.crashes.ownReports, c.Reports...)
 	s.crashes.ownReports = s.crashes.ownReports[max(0, len(s.crashes.ownReports)-maxCrashes):]
-	s.recordCrash(r)
 	s.wakeAnnouncer()
 }
 
@@ -93,13 +87,15 @@
 // recordCrash records a crash and logs the digest that it quarantines, if any.
 // The caller must hold s.mu.
 func (s *state) recordCrash(r dogcrash.Report) {
-	s.logQuarantined(s.crashes.table.AddReport(time.Now(), r), r.ID)
+	s.logQuarantined(s.crashes.detector.AddReport(time.Now(), r), r.ID)
 }
 
 // settleSuspects decides on contents that were suspected together with others.
 // The caller must hold s.mu.
 func (s *state) settleSuspects() {
-	s.logQuarantined(s.crashes.table.Settle(time.Now()), "")
+	for _, d := range s.crashes.detector.Settle(time.Now()) {
+		s.logQuarantined(d, "")
+	}
 }
 
 // logQuarantined logs a digest that was quarantined, unless it is 0. The death is
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -27,18 +27,18 @@
 		end  func(s *state)
 		want [][]uint64
 	}{
-		{"refuses connections", func(s *state) { s.MarkFailed("i-1"); s.MarkFailed("i-1") }, [][]uint64{{7, 8}}},
-		{"was started again", func(s *state) { s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}}},
-		{"both", func(s *state) { s.MarkFailed("i-1"); s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}}},
+		{"refuses connections", func(s *state) { s.MarkFailed("i-1"); s.MarkFailed("i-1") }, [][]uint64{{7, 8}, {17, 18}}},
+		{"was started again", func(s *state) { s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}, {17, 18}}},
+		{"both", func(s *state) { s.MarkFailed("i-1"); s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}, {17, 18}}},
 		{"drained", func(s *state) { s.ReceiveHeartbeat(draining); s.MarkFailed("i-1"); s.ReceiveHeartbeat(again) }, nil},
 		{"left", func(s *state) { s.Leave("i-1"); s.ReceiveHeartbeat(again) }, nil},
 	} {
 		s := testState(t, func() int64 { return 1 })
 		s.ReceiveHeartbeat(beat)
-		s.DispatchStarted("a", 7)
-		s.DispatchStarted("b", 8)
-		s.DispatchStarted("c", 9)
-		s.RecordCompletion(9)
+		s.DispatchStarted("a", dogcrash.Content{Shared: 17, Own: 7})
+		s.DispatchStarted("b", dogcrash.Content{Shared: 18, Own: 8})
+		s.DispatchStarted("c", dogcrash.Content{Shared: 19, Own: 9})
+		s.RecordCompletion(dogcrash.Content{Shared: 19, Own: 9})
 		s.DispatchEnded("a", true)
 		tc.end(s)
 		var got [][]uint64
@@ -56,7 +56,7 @@
 func TestQuarantine(t *testing.T) {
 	s := testState(t, func() int64 { return 1 })
 	for i, node := range []string{"rounds-2", "rounds-3", "rounds-4"} {
-		if left := s.QuarantineRemaining(7); left != 0 {
+		if left := s.QuarantineRemaining(dogcrash.Content{Shared: 17, Own: 7}); left != 0 {
 			t.Errorf("quarantined for %v after %d crashes", left, i)
 		}
 		e := dogfleet.Entry{
@@ -66,7 +66,7 @@
 		s.put(e, int64(2*i+1))
 		s.put(e, int64(2*i+2))
 	}
-	if left := s.QuarantineRemaining(7); left < 10*time.Second {
+	if left := s.QuarantineRemaining(dogcrash.Content{Shared: 17, Own: 7}); left < 10*time.Second {
 		t.Errorf("quarantined for %v, want at least 10 s", left)
 	}
 }
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -69,7 +69,7 @@
 		budget: dogbudget.New(budgetOptions(s)),
 		pace:   dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
 		crashes: crashes{
-			guard: dogcrash.NewGuard(fmt.Sprint(s.Node, "/", time.Now().UnixMilli())), table: dogcrash.NewTable(),
+			detector: dogcrash.NewDetector(fmt.Sprint(s.Node, "/", time.Now().UnixMilli())),
 		},
 	}
 }
--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -39,13 +39,13 @@
 
 func heldAttr(n int64) slog.Attr { return slog.Int64("held", n) }
 
-// digestAttr formats the digest as the events about crashes do. It is empty if
+// contentAttr formats the content as the events about crashes do. It is empty if
 // the content is known not to crash targets.
-func digestAttr(c *call) slog.Attr {
-	if c.digest == 0 || c.cleared {
+func contentAttr(c *call) slog.Attr {
+	if c.content.Shared == 0 || c.cleared {
 		return slog.String("digest", "")
 	}
-	return slog.String("digest", fmt.Sprintf("%016x", c.digest))
+	return slog.String("digest", fmt.Sprintf("%016x shared=%016x", c.content.Own, c.content.Shared))
 }
 
 // loadAttr formats the load on which a guard based its decision.
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/request/dogdigest"
 	"dogwoodford/core/version/dogtable"
 )
@@ -21,9 +23,7 @@
 	deadline time.Time
 	source   *http.Request // The request as received: method, URL, host and headers.
 	body     *body
-	// digest identifies the content: caller, method, path and the start of the
-	// body.
-	digest uint64
+	content  dogcrash.Content
 	// cleared tells whether the entry knows that a target completed the content
 	// since the last crash at which it was in progress.
 	cleared bool
@@ -60,14 +60,20 @@
 // form of numbers in headerCall.
 const digestMask = 1<<63 - 1
 
-// digestOf returns the digest of the content of a request, whose body counts as
-// far as it is buffered.
-func digestOf(caller string, r *http.Request, b *body) uint64 {
-	d := dogdigest.New("", caller, r.Method, r.URL.RequestURI())
+// sharedDigest returns the digest of the content of a request without its caller.
+// The body counts as far as it is buffered.
+func sharedDigest(r *http.Request, b *body) uint64 {
+	d := dogdigest.New("", "", r.Method, r.URL.RequestURI())
 	_, _ = d.Write(b.buffered) // Write never fails.
 	return d.Sum64() & digestMask
 }
 
+// contentOf returns the content that a caller sends, by its shared digest.
+func contentOf(caller string, shared uint64) dogcrash.Content {
+	own := dogdigest.New(caller, "", "", strconv.FormatUint(shared, 16)).Sum64()
+	return dogcrash.Content{Shared: shared, Own: own}
+}
+
 // remainingMillis returns the milliseconds until the deadline, at least 0.
 func (c *call) remainingMillis(now time.Time) int64 {
 	return max(0, c.deadline.Sub(now).Milliseconds())
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
@@ -70,16 +71,16 @@
 	// DispatchStarted records that a request with this content is sent to the
 	// local target, and DispatchEnded its end. unanswered tells whether its
 	// connection broke before the answer.
-	DispatchStarted(id string, digest uint64)
+	DispatchStarted(id string, c dogcrash.Content)
 	DispatchEnded(id string, unanswered bool)
-	// RecordCompletion records that a target completed the content with this digest.
-	RecordCompletion(digest uint64)
-	// HasCompleted reports whether a target is known to have completed the
-	// content with this digest.
-	HasCompleted(digest uint64) bool
-	// QuarantineRemaining returns how much longer the content with this digest is
-	// refused, 0 if it is not quarantined.
-	QuarantineRemaining(digest uint64) time.Duration
+	// RecordCompletion records that a target completed a content.
+	RecordCompletion(c dogcrash.Content)
+	// HasCompleted reports whether a target is known to have completed a content
+	// since the last crash at which it was in progress.
+	HasCompleted(c dogcrash.Content) bool
+	// QuarantineRemaining returns how much longer a content is refused, 0 if it is
+	// not quarantined.
+	QuarantineRemaining(c dogcrash.Content) time.Duration
 }
 
 // Budget is the retry budget, which bounds further attempts. Implementations
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -39,7 +39,7 @@
 	attrs := attrs{idAttr(id), reasonAttr(res.reason), outcomeAttr(res.outcome), tookAttr(time.Since(start)),
 		configAttr(h.cfg.Tables.Version())}
 	if c != nil {
-		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()), digestAttr(c))
+		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()), contentAttr(c))
 	}
 	if res.load != nil {
 		attrs = append(attrs, loadAttr(*res.load))
@@ -77,15 +77,15 @@
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(h.timeout(route, r)),
 	}
 	c.lineage = lineageOf(c, route, parent)
-	c.digest = digestOf(c.caller, r, b)
-	c.cleared = h.cfg.Crashes.HasCompleted(c.digest)
-	if remaining := h.cfg.Crashes.QuarantineRemaining(c.digest); remaining > 0 {
+	c.content = contentOf(c.caller, sharedDigest(r, b))
+	c.cleared = h.cfg.Crashes.HasCompleted(c.content)
+	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 {
 		return refused(dogwoodford.ReasonQuarantined, remaining), c
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.admitAndSend(ctx, c, route, parent)
 	if res.completed() {
-		h.cfg.Crashes.RecordCompletion(c.digest)
+		h.cfg.Crashes.RecordCompletion(c.content)
 	}
 	res.onClose(cancel)
 	return res, c
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -17,6 +17,7 @@
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
@@ -146,8 +147,8 @@
 	failedTargets  []string
 	unreachable    []string // Nodes recorded as unreachable.
 	brokenRequests []string // IDs of requests whose connection broke.
-	quarantined    uint64   // Digest of the quarantined content.
-	completed      []uint64 // Digests of completed content.
+	quarantined    dogcrash.Content
+	completed      []dogcrash.Content
 }
 
 func (w *fakeDeps) Targets() []dogwoodford.Target { return w.targets }
@@ -182,7 +183,7 @@
 	w.failedTargets, w.reason = append(w.failedTargets, id), dogwoodford.ReasonNoTarget
 }
 
-func (w *fakeDeps) DispatchStarted(string, uint64) {}
+func (w *fakeDeps) DispatchStarted(string, dogcrash.Content) {}
 
 func (w *fakeDeps) DispatchEnded(id string, unanswered bool) {
 	w.mu.Lock()
@@ -192,20 +193,20 @@
 	}
 }
 
-func (w *fakeDeps) RecordCompletion(digest uint64) {
+func (w *fakeDeps) RecordCompletion(c dogcrash.Content) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.completed = append(w.completed, digest)
+	w.completed = append(w.completed, c)
 }
 
-func (w *fakeDeps) HasCompleted(digest uint64) bool {
+func (w *fakeDeps) HasCompleted(c dogcrash.Content) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Contains(w.completed, digest)
+	return slices.Contains(w.completed, c)
 }
 
-func (w *fakeDeps) QuarantineRemaining(digest uint64) time.Duration {
-	if w.quarantined != 0 && w.quarantined == digest {
+func (w *fakeDeps) QuarantineRemaining(c dogcrash.Content) time.Duration {
+	if w.quarantined.Shared != 0 && w.quarantined == c {
 		return time.Minute
 	}
 	return 0
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -64,7 +64,7 @@
 	if res.outcome != dogwoodford.OutcomeRan {
 		h.cfg.Metrics.AddTo(dogmetric.GuardRefusals, string(res.reason), 1)
 		h.cfg.Log.Event(ctx, doglog.GuardRefused, idAttr(c.id), reasonAttr(res.reason), outcomeAttr(res.outcome),
-			loadAttr(load), leftAttr(c, time.Now()), digestAttr(c))
+			loadAttr(load), leftAttr(c, time.Now()), contentAttr(c))
 	}
 	return res
 }
@@ -116,7 +116,7 @@
 		return refused(reason, 0)
 	}
 	// The entry may know of a completion that this node does not know of.
-	if remaining := h.cfg.Crashes.QuarantineRemaining(c.digest); remaining > 0 && !c.cleared {
+	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 && !c.cleared {
 		return refused(dogwoodford.ReasonQuarantined, remaining)
 	}
 	now := time.Now()
@@ -134,7 +134,7 @@
 	out.Header[h.cfg.Headers.Deadline] = []string{strconv.FormatInt(max(1, c.remainingMillis(now)), 10)}
 	out.Header[h.cfg.Headers.ExpectInstance] = []string{t.ID}
 	out.Header[h.cfg.Headers.Caller] = []string{c.caller}
-	h.cfg.Crashes.DispatchStarted(c.id, c.digest)
+	h.cfg.Crashes.DispatchStarted(c.id, c.content)
 	resp, stage, err := h.cfg.Target.Do(out)
 	if err != nil {
 		h.cfg.Crashes.DispatchEnded(c.id, stage == dogoutcome.Written && ctx.Err() == nil)
@@ -143,7 +143,7 @@
 	res := h.handleTargetResponse(ctx, c, t, resp)
 	h.cfg.Crashes.DispatchEnded(c.id, res.outcome == dogwoodford.OutcomeUnknown)
 	if res.completed() {
-		h.cfg.Crashes.RecordCompletion(c.digest)
+		h.cfg.Crashes.RecordCompletion(c.content)
 	}
 	return res
 }
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/tools/txtar"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/request/dogcall"
 	"dogwoodford/core/version/dogtable"
 )
@@ -195,7 +196,7 @@
 		if err != nil || status != http.StatusServiceUnavailable || h.Get(dogcall.HeaderReason) != string(dogwoodford.ReasonQuarantined) {
 			t.Errorf("quarantined at the guard: status %d %v, error %v; want 503", status, h, err)
 		}
-		entry.quarantined, guard.quarantined = guard.quarantined, 0
+		entry.quarantined, guard.quarantined = guard.quarantined, dogcrash.Content{}
 		if status, _, _, err := post(t, entry, "upload", "a3", "payload"); err != nil || status != http.StatusServiceUnavailable {
 			t.Errorf("quarantined at the entry: status %d, error %v; want 503", status, err)
 		}
@@ -260,7 +261,7 @@
 		id: "a1.b2", service: "rounds", caller: "billing", kind: dogtable.Upload, attempt: 2,
 		deadline: now.Add(300 * time.Millisecond),
 		lineage:  lineage{root: "a1", class: "sheet", priority: 5, hop: 1, retried: true},
-		digest:   1<<63 - 1, cleared: true,
+		content:  contentOf("billing", 1<<63-1), cleared: true,
 	}
 	r, err := http.NewRequest("GET", "http://h/", nil)
 	if err != nil {
