dogcrash: one node tests a quarantined content when its quarantine ends

Cause: a quarantine ended at all nodes at the same time. Each let the content pass until it heard of the next crash: one target of each guard, up to the time that a report takes. The longer reports take and the more guards a service has, the more targets end.

Change: the node beside the target that crashed last sends the content once, with the header that lets guards run it; the others refuse it for ten minutes more. If it completes, a report clears it at all nodes; otherwise the next quarantine follows. An entry sends no further attempt with a content that was quarantined meanwhile. Events 1704 and 1703 say so. The script in which any node was free after 30 s now asks for more: one node, one request, and all others refuse.

--- a/core/process/dogcrash/detector.go
+++ b/core/process/dogcrash/detector.go
@@ -1,6 +1,9 @@
 package dogcrash
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Content identifies what a request asks for. The zero Content is not tracked.
 type Content struct {
@@ -18,16 +21,19 @@
 // and for all callers, because either can be what crashes targets. It is not safe for
 // concurrent use.
 type Detector struct {
+	name              string
+	clearances        int // Reports of cleared contents so far.
 	own, shared       *Guard
 	ownTab, sharedTab *Table
 }
 
-// NewDetector returns a detector without requests and reports. The name becomes part of
-// the IDs of its reports and must be unique to one process of one node.
-func NewDetector(name string) *Detector {
+// NewDetector returns the detector of a node without requests and reports. The process
+// must be unique among all processes of the node.
+func NewDetector(node, process string) *Detector {
+	name := node + idSeparator + process
 	return &Detector{
-		own: NewGuard(name), shared: NewGuard(name + "/shared"),
-		ownTab: NewTable(quarantineThreshold), sharedTab: NewTable(sharedThreshold),
+		name: name, own: NewGuard(name), shared: NewGuard(name + "/shared"),
+		ownTab: NewTable(node, quarantineThreshold), sharedTab: NewTable(node, sharedThreshold),
 	}
 }
 
@@ -72,13 +78,21 @@
 	return c
 }
 
+// Knows reports whether a report was added before.
+func (d *Detector) Knows(r Report) bool { return d.table(r).knows(r) }
+
+// table returns the table for a report.
+func (d *Detector) table(r Report) *Table {
+	if r.Shared {
+		return d.sharedTab
+	}
+	return d.ownTab
+}
+
 // AddReport adds the report of any node. It returns the digest that is quarantined
 // because of it, 0 if there is none.
 func (d *Detector) AddReport(now time.Time, r Report) uint64 {
-	if r.Shared {
-		return d.sharedTab.AddReport(now, r)
-	}
-	return d.ownTab.AddReport(now, r)
+	return d.table(r).AddReport(now, r)
 }
 
 // Settle decides on contents that were suspected together with others, and returns the
@@ -93,10 +107,22 @@
 	return out
 }
 
-// RecordCompletion records that a target has completed a content.
-func (d *Detector) RecordCompletion(c Content) {
-	d.ownTab.RecordCompletion(c.Own)
-	d.sharedTab.RecordCompletion(c.Shared)
+// RecordCompletion records that a target has completed a content. It returns what to
+// tell the other nodes, which is nothing unless the content was quarantined.
+func (d *Detector) RecordCompletion(c Content) []Report {
+	var out []Report
+	if d.ownTab.RecordCompletion(c.Own) {
+		out = append(out, d.clearance(c.Own, false))
+	}
+	if d.sharedTab.RecordCompletion(c.Shared) {
+		out = append(out, d.clearance(c.Shared, true))
+	}
+	return out
+}
+
+func (d *Detector) clearance(digest uint64, shared bool) Report {
+	d.clearances++
+	return Report{ID: fmt.Sprint(d.name, "/cleared/", d.clearances), Shared: shared, Cleared: []uint64{digest}}
 }
 
 // HasCompleted reports whether a target is known to have completed a content since the
@@ -110,3 +136,16 @@
 func (d *Detector) QuarantineRemaining(now time.Time, c Content) time.Duration {
 	return max(d.ownTab.QuarantineRemaining(now, c.Own), d.sharedTab.QuarantineRemaining(now, c.Shared))
 }
+
+// Test reports whether this node may send a quarantined content once, to find out
+// whether it still crashes targets.
+func (d *Detector) Test(now time.Time, c Content) bool {
+	own, shared := d.ownTab.QuarantineRemaining(now, c.Own) > 0, d.sharedTab.QuarantineRemaining(now, c.Shared) > 0
+	switch {
+	case own && shared:
+		return d.ownTab.Test(now, c.Own) && d.sharedTab.Test(now, c.Shared)
+	case own:
+		return d.ownTab.Test(now, c.Own)
+	}
+	return shared && d.sharedTab.Test(now, c.Shared)
+}
--- a/core/process/dogcrash/doc.go
+++ b/core/process/dogcrash/doc.go
@@ -17,19 +17,23 @@
 // reports a crash lists what had completed there before as doubtful, which does not
 // count yet; without a completion since, the next crash does.
 //
+// When a quarantine ends, one node sends the content once: the one beside the target
+// that crashed last. If it completes, that node tells the others; otherwise the next
+// quarantine is longer.
+//
 // Guard belongs to one target and tracks the contents that may crash it. Table
 // holds the reports of all nodes. Detector combines two of each, as a content may
 // crash targets for one caller or for all.
 //
 // # Usage
 //
-//	d := dogcrash.NewDetector("rounds-1/1767225600000")
+//	d := dogcrash.NewDetector("rounds-1", "1767225600000")
 //	d.Start(now, id, content)
 //	d.End(now, id, unanswered)
 //	for _, r := range d.RecordCrash(now).Reports {
 //		d.AddReport(now, r) // Also send it to the other nodes.
 //	}
-//	if left := d.QuarantineRemaining(now, content); left > 0 {
+//	if left := d.QuarantineRemaining(now, content); left > 0 && !d.Test(now, content) {
 //		// Answer "not run".
 //	}
 //
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -28,7 +28,7 @@
 func newScript() *script {
 	s := &script{guards: make(map[string]*Guard), tables: make(map[string]*Table)}
 	for _, n := range []string{"a", "b", "c", "d"} {
-		s.guards[n], s.tables[n] = NewGuard(n), NewTable(quarantineThreshold)
+		s.guards[n], s.tables[n] = NewGuard(n), NewTable(n, quarantineThreshold)
 	}
 	return s
 }
@@ -54,14 +54,22 @@
 		s.guards[node].End(now, id, true)
 	case "completes":
 		s.guards[node].End(now, id, false)
-		s.tables[node].RecordCompletion(digest)
+		if s.tables[node].RecordCompletion(digest) {
+			for _, t := range s.tables {
+				t.AddReport(now, Report{ID: fmt.Sprint(node, "/cleared/", digest), Cleared: []uint64{digest}})
+			}
+			return "clears"
+		}
 	case "crashes":
 		return s.crash(now, node)
 	case "asks":
-		if s.tables[node].QuarantineRemaining(now, digest) > 0 {
-			return "quarantined"
+		switch t := s.tables[node]; {
+		case t.QuarantineRemaining(now, digest) == 0:
+			return "free"
+		case t.Test(now, digest):
+			return "tests"
 		}
-		return "free"
+		return "quarantined"
 	default:
 		t.Fatalf("unknown step %v", w)
 	}
@@ -89,7 +97,7 @@
 // TestBounds guards against a table that grows without bound as crashes and completed
 // contents are added.
 func TestBounds(t *testing.T) {
-	tab := NewTable(quarantineThreshold)
+	tab := NewTable("a", quarantineThreshold)
 	for i := range 4 * maxReports {
 		now := start.Add(time.Duration(i) * 10 * time.Second)
 		tab.AddReport(now, Report{ID: fmt.Sprint(i), Digests: []uint64{uint64(i + 1)}})
@@ -108,7 +116,7 @@
 }
 
 func ExampleTable() {
-	t := NewTable(quarantineThreshold)
+	t := NewTable("a", quarantineThreshold)
 	for _, id := range []string{"rounds-1/1", "rounds-2/1", "rounds-3/1"} {
 		t.AddReport(start, Report{ID: id, Digests: []uint64{7}})
 	}
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -178,7 +178,7 @@
 	for i := range spec.nodes {
 		name := fmt.Sprint("n", i)
 		f.nodes = append(f.nodes, &simNode{
-			name: name, service: i % spec.services, detector: NewDetector(name), running: make(map[string]simRequest),
+			name: name, service: i % spec.services, detector: NewDetector(name, "1"), running: make(map[string]simRequest),
 		})
 	}
 	return f
@@ -282,7 +282,13 @@
 	}
 	c := Content{Shared: digest, Own: digest<<8 + uint64(entry.service) + 1}
 	cleared := entry.detector.HasCompleted(c)
-	if entry.detector.QuarantineRemaining(f.now, c) > 0 || !cleared && at.detector.QuarantineRemaining(f.now, c) > 0 {
+	if entry.detector.QuarantineRemaining(f.now, c) > 0 {
+		if cleared = entry.detector.Test(f.now, c); !cleared {
+			refuse()
+			return
+		}
+	}
+	if !cleared && at.detector.QuarantineRemaining(f.now, c) > 0 {
 		refuse()
 		return
 	}
@@ -300,8 +306,8 @@
 	}
 	delete(at.running, x.id)
 	at.detector.End(f.now, x.id, false)
-	at.detector.RecordCompletion(x.content)
-	x.entry.detector.RecordCompletion(x.content)
+	f.spread(at, at.detector.RecordCompletion(x.content))
+	f.spread(x.entry, x.entry.detector.RecordCompletion(x.content))
 }
 
 // crash ends the target of a node and, later, lets the guard detect it and the
@@ -321,10 +327,18 @@
 
 // detect makes the guard report the crash of its target to all nodes.
 func (f *simFleet) detect(at *simNode) {
-	for _, r := range at.detector.RecordCrash(f.now).Reports {
+	reports := at.detector.RecordCrash(f.now).Reports
+	for _, r := range reports {
 		at.detector.AddReport(f.now, r)
+	}
+	f.spread(at, reports)
+}
+
+// spread sends reports from one node to all others.
+func (f *simFleet) spread(from *simNode, reports []Report) {
+	for _, r := range reports {
 		for _, n := range f.nodes {
-			if n != at {
+			if n != from {
 				f.after(time.Duration(f.rnd.Int64N(int64(f.spec.spread))), func() { n.detector.AddReport(f.now, r) })
 			}
 		}
--- a/core/process/dogcrash/guard.go
+++ b/core/process/dogcrash/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -38,8 +39,20 @@
 	Shared bool `json:"shared,omitempty"`
 	// Doubtful are contents that had completed before at the node that reports.
 	Doubtful []uint64 `json:"doubtful,omitempty"`
+	// Cleared are contents that completed although they were quarantined. A report
+	// that has them tells of no crash.
+	Cleared []uint64 `json:"cleared,omitempty"`
 }
 
+// node returns the name of the node that reports.
+func (r Report) node() string {
+	name, _, _ := strings.Cut(r.ID, idSeparator)
+	return name
+}
+
+// idSeparator separates the name of the node from the rest of the ID of a report.
+const idSeparator = "/"
+
 // recent returns the digests of the requests that started last.
 func (r Report) recent() []uint64 {
 	return r.Digests[:min(len(r.Digests), max(r.Recent, recentRequests))]
@@ -49,7 +62,9 @@
 func (r Report) Empty() bool { return len(r.Digests) == 0 && len(r.Doubtful) == 0 }
 
 // Bounded reports whether r is within the bounds of a report.
-func (r Report) Bounded() bool { return len(r.Digests) <= MaxDigests && len(r.Doubtful) <= MaxDigests }
+func (r Report) Bounded() bool {
+	return len(r.Digests) <= MaxDigests && len(r.Doubtful) <= MaxDigests && len(r.Cleared) <= MaxDigests
+}
 
 // Newest returns r with the first MaxDigests digests of each list. A content crashes
 // its target when it begins to run, so that the cause is most probably among the
@@ -62,7 +77,8 @@
 
 // Equal reports whether r and other have the same ID and contents.
 func (r Report) Equal(other Report) bool {
-	return r.ID == other.ID && r.Recent == other.Recent && slices.Equal(r.Digests, other.Digests) && slices.Equal(r.Doubtful, other.Doubtful)
+	return r.ID == other.ID && r.Recent == other.Recent && slices.Equal(r.Digests, other.Digests) &&
+		slices.Equal(r.Doubtful, other.Doubtful) && slices.Equal(r.Cleared, other.Cleared)
 }
 
 // Guard tracks the requests that may crash one target.
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -23,9 +23,13 @@
 	// settleTime is the time in which harmless contents among several suspected ones
 	// complete somewhere.
 	settleTime = time.Second
+	// holdTime is the time after a quarantine for which a content is still refused by
+	// all nodes but the one that tests it. If that node is gone, the content is free
+	// again after it.
+	holdTime = 10 * time.Minute
 	// crashRetention is the time for which a crash counts. It exceeds the length
-	// of the second quarantine.
-	crashRetention = 20 * time.Minute
+	// of the second quarantine and holdTime.
+	crashRetention = 40 * time.Minute
 	// maxReports bounds the number of reports kept, which are the latest.
 	maxReports = 512
 	// maxCompleted bounds the number of contents known to have completed. Beyond
@@ -35,6 +39,7 @@
 
 // Table holds the crashes of all targets that are known to one node.
 type Table struct {
+	node      string            // Name of this node.
 	threshold int               // Crashes after which a content is quarantined.
 	reports   map[string]known  // By ID of the crash.
 	order     []string          // IDs in order of arrival.
@@ -61,14 +66,19 @@
 	suspected time.Time
 	length    time.Duration // Of the current or last quarantine; 0 if there was none.
 	until     time.Time     // End of the quarantine.
+	// tester is the node that may send the content once when the quarantine ends,
+	// which is the one beside the target that crashed last, and testAt the time from
+	// which it may do so.
+	tester string
+	testAt time.Time
 }
 
-// NewTable returns a table without reports that quarantines a content after threshold
-// crashes.
-func NewTable(threshold int) *Table {
+// NewTable returns the table of a node without reports, which quarantines a content
+// after threshold crashes.
+func NewTable(node string, threshold int) *Table {
 	return &Table{
-		threshold: threshold,
-		reports:   make(map[string]known), counts: make(map[uint64]*count),
+		node: node, threshold: threshold,
+		reports: make(map[string]known), counts: make(map[uint64]*count),
 		completed: make(map[uint64]struct{}), olderCompleted: make(map[uint64]struct{}),
 	}
 }
@@ -79,7 +89,7 @@
 // between equals, Settle decides after the harmless ones had time to complete. A
 // report that is already known is ignored.
 func (t *Table) AddReport(now time.Time, r Report) uint64 {
-	if _, known := t.reports[r.ID]; known {
+	if t.knows(r) {
 		return 0
 	}
 	t.expire(now)
@@ -88,6 +98,9 @@
 	for _, d := range r.Doubtful {
 		t.doubt(now, d)
 	}
+	for _, d := range r.Cleared {
+		t.RecordCompletion(d)
+	}
 	explained := slices.ContainsFunc(r.recent(), func(d uint64) bool { return t.QuarantineRemaining(now, d) > 0 })
 	var suspects []uint64
 	for i, d := range r.Digests {
@@ -96,6 +109,7 @@
 			continue
 		}
 		c.crashes++
+		c.tester = r.node()
 		if i < len(r.recent()) {
 			c.recent++
 		}
@@ -106,6 +120,11 @@
 	return t.decide(now, suspects)
 }
 
+func (t *Table) knows(r Report) bool {
+	_, ok := t.reports[r.ID]
+	return ok
+}
+
 // isSuspect reports whether the content may be the cause of its crashes.
 func (t *Table) isSuspect(c *count) bool {
 	return c.recent >= t.threshold || c.crashes >= lateFactor*t.threshold
@@ -205,6 +224,7 @@
 		c.length = firstQuarantine * quarantineGrowth
 	}
 	c.until = now.Add(c.length)
+	c.testAt = c.until
 	c.suspected = time.Time{}
 }
 
@@ -223,16 +243,19 @@
 }
 
 // RecordCompletion records that a target has completed the content with this
-// digest. The crashes before it no longer count, and a quarantine ends.
-func (t *Table) RecordCompletion(digest uint64) {
+// digest. The crashes before it no longer count, and a quarantine ends. It reports
+// whether the content was quarantined, so that the other nodes must hear of it.
+func (t *Table) RecordCompletion(digest uint64) bool {
 	if digest == 0 {
-		return
+		return false
 	}
+	c := t.counts[digest]
 	delete(t.counts, digest)
 	t.completed[digest] = struct{}{}
 	if len(t.completed) >= maxCompleted/2 {
 		t.olderCompleted, t.completed = t.completed, make(map[uint64]struct{})
 	}
+	return c != nil && c.length > 0
 }
 
 // HasCompleted reports whether a target is known to have completed a content since
@@ -270,11 +293,27 @@
 }
 
 // QuarantineRemaining returns how much longer a content is refused, 0 if it is not
-// quarantined.
+// quarantined. After the quarantine it is refused for holdTime more, except for the one
+// request that Test lets pass.
 func (t *Table) QuarantineRemaining(now time.Time, digest uint64) time.Duration {
 	c := t.counts[digest]
-	if c == nil {
+	switch {
+	case c == nil, c.length == 0, !now.Before(c.until.Add(holdTime)):
 		return 0
+	case c.quarantined(now):
+		return c.until.Sub(now)
+	}
+	return min(firstQuarantine, c.until.Add(holdTime).Sub(now))
+}
+
+// Test reports whether this node may send a quarantined content once, to find out
+// whether it still crashes targets. Of all nodes only one may do so, because the others
+// would not hear of the next crash before they send it too.
+func (t *Table) Test(now time.Time, digest uint64) bool {
+	c := t.counts[digest]
+	if c == nil || c.length == 0 || c.tester != t.node || now.Before(c.testAt) {
+		return false
 	}
-	return max(0, c.until.Sub(now))
+	c.testAt = now.Add(firstQuarantine)
+	return true
 }
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -102,6 +102,7 @@
 	SuspectReported   = define(1701, "suspect-reported", slog.LevelWarn)
 	DigestQuarantined = define(1702, "digest-quarantined", slog.LevelError)
 	DigestReleased    = define(1703, "digest-released", slog.LevelInfo)
+	QuarantineTested  = define(1704, "quarantine-tested", slog.LevelInfo)
 )
 
 // Events of a sidecar: 1800 to 1899.
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"dogwoodford/core/process/dogcrash"
@@ -38,7 +39,16 @@
 func (s *state) RecordCompletion(c dogcrash.Content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.detector.RecordCompletion(c)
+	if reports := s.crashes.detector.RecordCompletion(c); len(reports) > 0 {
+		s.publish(reports)
+	}
+}
+
+// TestQuarantined implements dogrelay.Crashes.
+func (s *state) TestQuarantined(c dogcrash.Content) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.detector.Test(time.Now(), c)
 }
 
 // HasCompleted implements dogrelay.Crashes.
@@ -66,8 +76,14 @@
 			slog.Any("digests", formatDigests(r.Digests)), slog.Any("doubtful", formatDigests(r.Doubtful)))
 		s.recordCrash(r)
 	}
-	s.crashes.ownReports = append(s.crashes.ownReports, c.Reports...)
-	s.crashes.ownReports = s.crashes.ownReports[max(0, len(s.crashes.ownReports)-maxCrashes):]
+	s.publish(c.Reports)
+}
+
+// publish tells the other nodes reports of this node, through its entry. The
+// caller must hold s.mu.
+func (s *state) publish(reports []dogcrash.Report) {
+	own := append(s.crashes.ownReports, reports...)
+	s.crashes.ownReports = slices.Clone(own[max(0, len(own)-maxCrashes):])
 	s.wakeAnnouncer()
 }
 
@@ -87,7 +103,13 @@
 // recordCrash records a crash and logs the digest that it quarantines, if any.
 // The caller must hold s.mu.
 func (s *state) recordCrash(r dogcrash.Report) {
+	if s.crashes.detector.Knows(r) {
+		return
+	}
 	s.logQuarantined(s.crashes.detector.AddReport(time.Now(), r), r.ID)
+	for _, d := range r.Cleared {
+		s.log.event(doglog.DigestReleased, slog.String("digest", formatDigest(d)), slog.String("report", r.ID))
+	}
 }
 
 // settleSuspects decides on contents that were suspected together with others.
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -1,9 +1,9 @@
 package dogsidecar
 
 import (
-	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -69,7 +69,7 @@
 		budget: dogbudget.New(budgetOptions(s)),
 		pace:   dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
 		crashes: crashes{
-			detector: dogcrash.NewDetector(fmt.Sprint(s.Node, "/", time.Now().UnixMilli())),
+			detector: dogcrash.NewDetector(s.Node, strconv.FormatInt(time.Now().UnixMilli(), 10)),
 		},
 	}
 }
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -24,8 +24,9 @@
 	source   *http.Request // The request as received: method, URL, host and headers.
 	body     *body
 	content  dogcrash.Content
-	// cleared tells whether the entry knows that a target completed the content
-	// since the last crash at which it was in progress.
+	// cleared tells whether guards run the content although it may be quarantined:
+	// the entry knows that a target completed it since the last crash at which it
+	// was in progress, or tests it.
 	cleared bool
 }
 
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -81,6 +81,9 @@
 	// QuarantineRemaining returns how much longer a content is refused, 0 if it is
 	// not quarantined.
 	QuarantineRemaining(c dogcrash.Content) time.Duration
+	// TestQuarantined reports whether this node may send a quarantined content
+	// once, to find out whether it still crashes targets.
+	TestQuarantined(c dogcrash.Content) bool
 }
 
 // Budget is the retry budget, which bounds further attempts. Implementations
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -80,7 +80,10 @@
 	c.content = contentOf(c.caller, sharedDigest(r, b))
 	c.cleared = h.cfg.Crashes.HasCompleted(c.content)
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 {
-		return refused(dogwoodford.ReasonQuarantined, remaining), c
+		if c.cleared = h.cfg.Crashes.TestQuarantined(c.content); !c.cleared {
+			return refused(dogwoodford.ReasonQuarantined, remaining), c
+		}
+		h.cfg.Log.Event(ctx, doglog.QuarantineTested, idAttr(c.id), serviceAttr(c.service))
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	res := h.admitAndSend(ctx, c, route, parent)
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -148,6 +148,7 @@
 	unreachable    []string // Nodes recorded as unreachable.
 	brokenRequests []string // IDs of requests whose connection broke.
 	quarantined    dogcrash.Content
+	tests          int // Requests with quarantined content that may pass.
 	completed      []dogcrash.Content
 }
 
@@ -212,6 +213,11 @@
 	return 0
 }
 
+func (w *fakeDeps) TestQuarantined(dogcrash.Content) bool {
+	w.tests--
+	return w.tests >= 0
+}
+
 func (w *fakeDeps) RecordInducedRetry(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -21,8 +21,7 @@
 const (
 	headerCall   = dogcall.Prefix + "Call"
 	headerAnswer = dogcall.Prefix + "Answer"
-	// headerCleared is present if the entry knows that the content of the call
-	// completes. It is a header of its own because nodes of earlier builds reject
+	// headerCleared is present if the call is cleared. It is a header of its own because nodes of earlier builds reject
 	// a headerCall with more fields.
 	headerCleared = dogcall.Prefix + "Cleared"
 )
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -203,6 +203,12 @@
 		if guard.target.count() != 2 {
 			t.Errorf("the target ran %d requests, want 2", guard.target.count())
 		}
+		guard.quarantined, entry.tests = entry.quarantined, 1
+		for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			if status, _, _, err := post(t, entry, "upload", "a5", "payload"); err != nil || status != want {
+				t.Errorf("test of quarantined content: status %d, error %v; want %d", status, err, want)
+			}
+		}
 	}
 }
 
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -80,6 +80,9 @@
 	if res.reason == dogwoodford.ReasonQuarantined {
 		return false // Other guards know of the crashes too.
 	}
+	if h.cfg.Crashes.QuarantineRemaining(c.content) > 0 && res.mayHaveArrived {
+		return false // The content may have crashed that target.
+	}
 	if !res.mayHaveArrived {
 		return true // Asking another guard puts no load on a target.
 	}
