dogsidecar: reports of crashes outlast the restart of the node that wrote them

Cause: a node that was restarted wrote its entry without the reports of its earlier process. After a restart of all nodes in turn, or a kill of many, no entry told of the crashes, and nodes that started later let the content pass again.

Evidence: TestCrashesOutlastRestarts: no report in the entry after a restart.

Change: a node keeps the reports that its own entry holds, up to the bound of an entry.

A report whose machine is removed for good is still gone for nodes that start afterwards.

--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -79,11 +79,31 @@
 	s.publish(c.Reports)
 }
 
+// adoptReports keeps the reports of earlier processes of this node, which its
+// entry still holds. The caller must hold s.mu.
+func (s *state) adoptReports(e dogfleet.Entry) {
+	if e.Node != s.settings.Node || len(e.Crashes) > maxCrashes {
+		return
+	}
+	var earlier []dogcrash.Report
+	for _, r := range e.Crashes {
+		isOwn := func(x dogcrash.Report) bool { return x.ID == r.ID }
+		if r.Bounded() && !slices.ContainsFunc(s.crashes.ownReports, isOwn) {
+			earlier = append(earlier, r)
+		}
+	}
+	s.keepReports(append(earlier, s.crashes.ownReports...))
+}
+
+// keepReports replaces the reports of this node by the latest of reports.
+func (s *state) keepReports(reports []dogcrash.Report) {
+	s.crashes.ownReports = slices.Clone(reports[max(0, len(reports)-maxCrashes):])
+}
+
 // publish tells the other nodes reports of this node, through its entry. The
 // caller must hold s.mu.
 func (s *state) publish(reports []dogcrash.Report) {
-	own := append(s.crashes.ownReports, reports...)
-	s.crashes.ownReports = slices.Clone(own[max(0, len(own)-maxCrashes):])
+	s.keepReports(append(s.crashes.ownReports, reports...))
 	s.wakeAnnouncer()
 }
 
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -70,3 +70,19 @@
 		t.Errorf("quarantined for %v, want at least 10 s", left)
 	}
 }
+
+// TestCrashesOutlastRestarts guards against reports that are lost when the node that
+// wrote them is restarted: nodes that start later would not know of the crashes.
+func TestCrashesOutlastRestarts(t *testing.T) {
+	s := testState(t, func() int64 { return 1 })
+	stored := dogfleet.Entry{
+		Node: "rounds-1", Service: "rounds", State: dogwoodford.StateReady,
+		Crashes: []dogcrash.Report{{ID: "rounds-1/99/1", Digests: []uint64{7}}, {ID: "rounds-1/99/2", Digests: []uint64{7}}},
+	}
+	s.put(stored, 1)
+	s.setListed()
+	s.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
+	if diff := cmp.Diff(stored.Crashes, s.entry().Crashes); diff != "" {
+		t.Errorf("reports in the entry after a restart (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -19,6 +19,7 @@
 	s.mu.Lock()
 	isNew := s.fleet.Put(time.Now(), e, version)
 	s.recordCrashes(e)
+	s.adoptReports(e)
 	s.mu.Unlock()
 	if isNew {
 		s.log.event(doglog.EntrySeen, slog.String("peer", e.Node), slog.String("service", e.Service),
