dogsidecar: nodes send reports of crashes to each other directly

Cause: reports of crashes went through the store alone. A node heard of them at its next watch, up to 3 s after another change in large fleets, and not at all while the store was away; targets ended meanwhile.

Change: a node also posts its reports to all nodes that it knows, once to each, 16 at a time. The entry stays, for nodes that miss them or start later. Event 1705 tells of failures.

Measured: TestCrashReportedDirectly, without any store: the other node refuses the content after the third crash. Cost: one small request to each node for a crash.

--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -103,6 +103,7 @@
 	DigestQuarantined = define(1702, "digest-quarantined", slog.LevelError)
 	DigestReleased    = define(1703, "digest-released", slog.LevelInfo)
 	QuarantineTested  = define(1704, "quarantine-tested", slog.LevelInfo)
+	CrashReportFailed = define(1705, "crash-report-failed", slog.LevelWarn)
 )
 
 // Events of a sidecar: 1800 to 1899.
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -39,9 +39,7 @@
 func (s *state) RecordCompletion(c dogcrash.Content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if reports := s.crashes.detector.RecordCompletion(c); len(reports) > 0 {
-		s.publish(reports)
-	}
+	s.publish(s.crashes.detector.RecordCompletion(c))
 }
 
 // TestQuarantined implements dogrelay.Crashes.
@@ -100,9 +98,17 @@
 	s.crashes.ownReports = slices.Clone(reports[max(0, len(reports)-maxCrashes):])
 }
 
-// publish tells the other nodes reports of this node, through its entry. The
-// caller must hold s.mu.
+// publish tells the other nodes reports of this node: at once, and through its entry
+// for those that do not answer or start later. The caller must hold s.mu.
 func (s *state) publish(reports []dogcrash.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	select {
+	case s.reports <- reports:
+	default: // The nodes read them in the entry.
+		s.log.event(doglog.CrashReportFailed, slog.String("problem", "too many reports are waiting"))
+	}
 	s.keepReports(append(s.crashes.ownReports, reports...))
 	s.wakeAnnouncer()
 }
@@ -120,6 +126,13 @@
 	}
 }
 
+// receiveReports records reports that another node sent directly.
+func (s *state) receiveReports(reports []dogcrash.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordCrashes(dogfleet.Entry{Crashes: reports})
+}
+
 // recordCrash records a crash and logs the digest that it quarantines, if any.
 // The caller must hold s.mu.
 func (s *state) recordCrash(r dogcrash.Report) {
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -1,6 +1,8 @@
 package dogsidecar
 
 import (
+	"context"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/io/connection/dogconn"
 )
 
 // TestTargetCrashes guards against crashes that are not reported to other
@@ -86,3 +89,29 @@
 		t.Errorf("reports in the entry after a restart (-want +got):\n%s", diff)
 	}
 }
+
+// TestCrashReportedDirectly guards against nodes that hear of a crash only when they
+// next watch the store, seconds later, or not at all while the store is away.
+func TestCrashReportedDirectly(t *testing.T) {
+	a, b := testState(t, func() int64 { return 1 }), testState(t, func() int64 { return 1 })
+	receiver := httptest.NewServer((&peers{state: b, configs: &configs{}, log: b.log}).handler())
+	defer receiver.Close()
+	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
+	sender := &peers{state: a, transport: dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second}), log: a.log}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- sender.sendReports(ctx) }()
+	c := dogcrash.Content{Shared: 17, Own: 7}
+	for born := int64(1); born <= 4; born++ {
+		a.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: born, Sequence: 1, Slots: 4})
+		a.DispatchStarted("a", c)
+	}
+	for end := time.Now().Add(5 * time.Second); b.QuarantineRemaining(c) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if b.QuarantineRemaining(c) == 0 {
+		t.Error("the other node does not refuse the content after three crashes")
+	}
+	cancel()
+	<-done
+}
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -1,6 +1,7 @@
 package dogsidecar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglog"
@@ -25,6 +27,7 @@
 	pingPath    = "/ping"    // Whether the target accepts requests.
 	configPath  = "/config"  // Unparsed configuration in force.
 	entriesPath = "/entries" // Entries of all known nodes.
+	crashesPath = "/crashes" // Takes reports of crashes.
 )
 
 const (
@@ -40,6 +43,12 @@
 	// minPullInterval is the pause after a pull. It bounds how often newer
 	// configurations are requested.
 	minPullInterval = 50 * time.Millisecond
+	// maxConcurrentReports is the number of nodes to which a report is sent at the
+	// same time.
+	maxConcurrentReports = 16
+	// maxReportBytes bounds the body of a request with reports. A report has some
+	// kilobytes.
+	maxReportBytes = 64 << 10
 	// maxResponseBytes bounds the response of another node. A value of the
 	// store has at most a megabyte.
 	maxResponseBytes = 8 << 20
@@ -86,27 +95,82 @@
 // get returns the body of the response of the node at addr. A status other than
 // 200 is an errUnusableResponse.
 func (p *peers) get(ctx context.Context, addr, path string) ([]byte, error) {
+	return p.request(ctx, http.MethodGet, addr, path, nil)
+}
+
+// request sends a request with a body, which may be nil, to the node at addr and
+// returns the body of the response. A status other than 200 is an
+// errUnusableResponse.
+func (p *peers) request(ctx context.Context, method, addr, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("get %s of %s: %w", path, addr, err)
+		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
 	resp, _, err := p.transport.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("get %s of %s: %w", path, addr, err)
+		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was read or is not needed.
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("get %s of %s: status %d: %w", path, addr, resp.StatusCode, errUnusableResponse)
+		return nil, fmt.Errorf("%s %s of %s: status %d: %w", method, path, addr, resp.StatusCode, errUnusableResponse)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return nil, fmt.Errorf("get %s of %s: %w", path, addr, err)
+		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
 	return data, nil
 }
 
+// sendReports sends the crash reports of this node to all others, until ctx ends.
+func (p *peers) sendReports(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case reports := <-p.state.reports:
+			p.sendToAll(ctx, reports)
+		}
+	}
+	return ctx.Err()
+}
+
+// sendToAll sends reports to all other nodes, once to each. A node that misses them
+// reads them in the store.
+func (p *peers) sendToAll(ctx context.Context, reports []dogcrash.Report) {
+	data, err := json.Marshal(reports)
+	if err != nil {
+		p.log.event(doglog.CrashReportFailed, doglog.Err(err))
+		return
+	}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxConcurrentReports)
+	for _, v := range p.state.entries() {
+		if v.Entry.Node == p.state.settings.Node {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if _, err := p.request(ctx, http.MethodPost, v.Entry.Peer, crashesPath, data); err != nil {
+				p.log.event(doglog.CrashReportFailed, slog.String("peer", v.Entry.Node), doglog.Err(err))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// receiveReports records the crash reports of another node.
+func (p *peers) receiveReports(w http.ResponseWriter, r *http.Request) {
+	var reports []dogcrash.Report
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxReportBytes)).Decode(&reports); err != nil || len(reports) > maxCrashes {
+		p.log.event(doglog.CrashReportFailed, slog.Int("reports", len(reports)), doglog.Err(err))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.state.receiveReports(reports)
+}
+
 // probeUnreachable pings unreachable nodes until they accept requests, and
 // removes the entries of those that stay unreachable, until ctx ends.
 func (p *peers) probeUnreachable(ctx context.Context) error {
@@ -183,6 +247,7 @@
 		}
 	})
 	mux.HandleFunc(configPath, p.configs.serve)
+	mux.HandleFunc("POST "+crashesPath, p.receiveReports)
 	mux.HandleFunc(entriesPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := json.NewEncoder(w).Encode(p.state.entries()); err != nil {
 			p.log.event(doglog.ConfigPullFailed, doglog.Err(err))
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -20,14 +20,18 @@
 // that answers no request counts as failed. Heartbeats may arrive seconds late.
 const maxMissedHeartbeats = 3
 
+// maxWaitingReports bounds the crash reports that wait to be sent to other nodes.
+const maxWaitingReports = 16
+
 // state is the control state of a node. It implements HeartbeatReceiver and the
 // interfaces Fleet, Local, Budget and Crashes of dogrelay, and is safe for
 // concurrent use.
 type state struct {
 	settings     Settings
 	log          *logger
-	entryChanged chan struct{} // Receives a value when the node's own entry may have changed.
-	newerConfigs chan string   // Receives the peer address of a node with a newer configuration.
+	entryChanged chan struct{}          // Receives a value when the node's own entry may have changed.
+	newerConfigs chan string            // Receives the peer address of a node with a newer configuration.
+	reports      chan []dogcrash.Report // Receives crash reports of this node to send to the others.
 	version      func() int64
 	probeAlive   func(e dogfleet.Entry) bool // Reports whether a node answers.
 	setSlots     func(n int)                 // Sets the number of requests that the target runs concurrently.
@@ -62,7 +66,8 @@
 	return &state{
 		settings: s, log: log, version: version,
 		entryChanged: make(chan struct{}, 1), newerConfigs: make(chan string, 1),
-		fleet: dogfleet.New(), silence: dogfleet.NewSilenceDetector(), aliveContexts: make(aliveContexts),
+		reports: make(chan []dogcrash.Report, maxWaitingReports),
+		fleet:   dogfleet.New(), silence: dogfleet.NewSilenceDetector(), aliveContexts: make(aliveContexts),
 		target: dogtarget.New(dogtarget.Options{
 			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat,
 		}),
