dogsidecar: report the crash of a target that was silent before

Cause: a target without heartbeats and answers counts as failed. If it was started again after that, no crash was recorded, as it had not been ready; what was in progress stayed unreported. Targets that end without closing their connections, on machines with little traffic, are of this kind.

Evidence: TestSilentCrash, silence of six heartbeats and a new start: no report. Ruled out for busy targets, where a refused connection is noticed first.

Change: what decides is whether the target is known to have ended, not whether it counts as failed by its silence.

Measured: the test passes, and so do the scripts of dogtarget.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -170,6 +170,10 @@
 	return c.state
 }
 
+// Running reports whether the target was ready when it was last heard of, and is not
+// known to have ended since. A silent target counts as failed, but may still run.
+func (w *Tracker) Running() bool { return w.current != nil && w.current.state == dogwoodford.StateReady }
+
 // Current returns the target if it may be sent requests.
 func (w *Tracker) Current(now time.Time) (Target, bool) {
 	if w.State(now) != dogwoodford.StateReady {
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -115,3 +116,21 @@
 	cancel()
 	<-done
 }
+
+// TestSilentCrash guards against a crash that is not reported because the target had
+// been silent for so long that it counted as failed before it was started again.
+func TestSilentCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testState(t, func() int64 { return 1 })
+		beat := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4}
+		s.ReceiveHeartbeat(beat)
+		s.DispatchStarted("a", dogcrash.Content{Shared: 17, Own: 7})
+		time.Sleep(2 * maxMissedHeartbeats * s.settings.Heartbeat)
+		s.refresh()
+		beat.Born = 200
+		s.ReceiveHeartbeat(beat)
+		if got := len(s.entry().Crashes); got != 2 {
+			t.Errorf("%d reports of a crash after silence, want 2 (for the caller and for all)", got)
+		}
+	})
+}
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -83,9 +83,9 @@
 func (s *state) ReceiveHeartbeat(h dogtarget.Heartbeat) dogtarget.Effect {
 	s.mu.Lock()
 	before, known := s.target.LastHeartbeat()
-	wasReady := s.target.State(time.Now()) == dogwoodford.StateReady
+	wasRunning := s.target.Running()
 	e := s.target.Observe(time.Now(), h)
-	if e == dogtarget.Accepted && known && wasReady && (before.ID != h.ID || before.Born != h.Born) {
+	if e == dogtarget.Accepted && known && wasRunning && (before.ID != h.ID || before.Born != h.Born) {
 		s.targetCrashed()
 	}
 	s.updateTargetState()
@@ -168,9 +168,9 @@
 func (s *state) MarkFailed(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wasReady := s.target.State(time.Now()) == dogwoodford.StateReady
+	wasRunning := s.target.Running()
 	s.target.MarkFailed(id)
-	if wasReady && s.target.State(time.Now()) == dogwoodford.StateFailed {
+	if wasRunning && !s.target.Running() {
 		s.targetCrashed()
 	}
 	s.updateTargetState()
