dogrelay: hold the ports of targets that refuse connections in tests

Cause: the test closed a listener and used its address. The next listener of the same test could get the port, so that the request met a node or another target.

Change: a socket that is bound and does not listen holds the port. No expectation changes.

--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,20 +44,41 @@
 }
 
 func newFakeTarget(t testing.TB, script string) *fakeTarget {
+	if script == "refuse" {
+		return &fakeTarget{addr: refusingAddress(t), script: script}
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fakeTarget{addr: ln.Addr().String(), ln: ln, script: script}
-	if script == "refuse" {
-		ln.Close()
-		return f
-	}
 	t.Cleanup(func() { ln.Close() })
 	go f.accept()
 	return f
 }
 
+// refusingAddress returns an address that refuses connections. A socket holds it, as
+// another listener could get the port of one that was closed.
+func refusingAddress(t testing.TB) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		t.Fatalf("the socket is bound to %T", bound)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", addr.Port)
+}
+
 func (f *fakeTarget) accept() {
 	for {
 		c, err := f.ln.Accept()
