Keep the rate that a target names, at the node beside it

Cause: nothing read the header; answers were passed on with it.

Change: a rate in dogadmit bounds the starts per second, beside the limit of concurrent requests, so that the queue, the cutoff, the hints and the load that entries route by follow from it. Only the node beside a target sends to it, so that it alone counts, whatever entries come and go; a rate near zero still lets one request pass in two seconds, as the target could not say otherwise that it takes more. What a target says goes with the answers to the entries and with their calls back to a guard that has been restarted and has heard nothing yet. The headers are named in platform alone. Event 1817 tells of changes.

--- a/admission.go
+++ b/admission.go
@@ -86,6 +86,9 @@
 	// SetSlots sets the number of requests that the target reports it can run
 	// concurrently.
 	SetSlots(n int)
+	// SetRate sets the number of requests that the target takes per second; 0
+	// means that it does not limit them.
+	SetRate(now time.Time, perSecond float64)
 	// Load returns the current load.
 	Load(now time.Time) Load
 }
--- a/core/process/dogadmit/admit.go
+++ b/core/process/dogadmit/admit.go
@@ -26,6 +26,7 @@
 type Admission struct {
 	opts    Options
 	limiter limiter
+	rate    rate // As the target asks.
 	queue   queue
 	cutoff  cutoff
 	running map[string]struct{}
@@ -76,7 +77,7 @@
 	if r.Priority() < a.cutoff.value && !exempt {
 		return a.refuse(dogwoodford.ReasonOverload), nil
 	}
-	free := len(a.running) < a.limiter.limit()
+	free := len(a.running) < a.limiter.limit() && a.rate.allows(now)
 	if free && a.queue.len() == 0 {
 		if a.missesDeadline(now, r, 0) {
 			return a.refuse(dogwoodford.ReasonDeadline), nil
@@ -154,19 +155,36 @@
 	}
 }
 
-// Load returns the current load.
+// SetRate sets the number of requests that the target takes per second; 0 means that
+// it does not limit them.
+func (a *Admission) SetRate(now time.Time, perSecond float64) {
+	if perSecond != a.rate.perSecond {
+		a.rate.set(now, max(0, perSecond))
+	}
+}
+
+// Load returns the current load. The limit of a target that limits the rate is the
+// number of requests that run on average at that rate.
 func (a *Admission) Load(now time.Time) dogwoodford.Load {
 	a.advance(now)
-	return dogwoodford.Load{
+	l := dogwoodford.Load{
 		InFlight: len(a.running),
 		Queued:   a.queue.len(),
 		Limit:    a.limiter.limit(),
 		Cutoff:   a.cutoff.value,
 	}
+	if a.rate.limits() {
+		l.Limit = max(1, min(l.Limit, int(a.rate.perSecond*a.limiter.latency.Seconds())))
+		if !a.rate.allows(now) {
+			l.InFlight = max(l.InFlight, l.Limit)
+		}
+	}
+	return l
 }
 
 func (a *Admission) start(id string) {
 	a.running[id] = struct{}{}
+	a.rate.take()
 	a.cutoff.started()
 }
 
@@ -174,7 +192,7 @@
 // that would miss their deadlines.
 func (a *Admission) fill(now time.Time) []dogwoodford.Dequeued {
 	var out []dogwoodford.Dequeued
-	for len(a.running) < a.limiter.limit() && a.queue.len() > 0 {
+	for len(a.running) < a.limiter.limit() && a.queue.len() > 0 && a.rate.allows(now) {
 		e := a.queue.popFirst()
 		if a.missesDeadline(now, e.r, 0) {
 			out = append(out, dogwoodford.Dequeued{ID: e.r.ID(), Verdict: a.refuse(dogwoodford.ReasonDeadline)})
@@ -202,15 +220,21 @@
 
 // waitForPlaces returns the expected time until n places have become free.
 func (a *Admission) waitForPlaces(n int) time.Duration {
-	return time.Duration(n) * a.limiter.interval()
+	return time.Duration(n) * a.interval()
 }
 
+// interval returns the mean time between the starts of two requests while others wait.
+func (a *Admission) interval() time.Duration { return max(a.limiter.interval(), a.rate.interval()) }
+
 // maxQueueLen returns the number of requests that may wait.
 func (a *Admission) maxQueueLen() int {
 	// With fewer than four places, targets with few slots refuse bursts while
 	// they are not busy.
-	const minLen = 4
-	iv := a.limiter.interval()
+	minLen := 4
+	if a.rate.limits() {
+		minLen = 1 // Others can run sooner what waits for a low rate.
+	}
+	iv := a.interval()
 	if iv <= 0 {
 		return max(minLen, a.limiter.limit())
 	}
@@ -233,7 +257,7 @@
 	// At targets with few slots, a wait for fewer than two places is noise.
 	delay := max(a.opts.TargetDelay, a.waitForPlaces(2))
 	allowed := 0
-	if iv := a.limiter.interval(); iv > 0 {
+	if iv := a.interval(); iv > 0 {
 		allowed = int(delay / iv)
 	}
 	a.cutoff.advance(now, a.queue.len(), allowed)
--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -142,6 +142,14 @@
 	c.state = dogwoodford.StateLeft
 }
 
+// MarkDraining records that the target with the given id said in an answer that it is
+// leaving. Like a heartbeat that says so, this is final for one start.
+func (w *Tracker) MarkDraining(id string) {
+	if c := w.current; c != nil && c.heartbeat.ID == id && c.state != dogwoodford.StateLeft {
+		c.state = dogwoodford.StateDraining
+	}
+}
+
 // RecordAnswer records that the target with the given id answered a request.
 func (w *Tracker) RecordAnswer(now time.Time, id string) {
 	if c := w.current; c != nil && c.heartbeat.ID == id {
@@ -172,7 +180,9 @@
 
 // Running reports whether the target was ready when it was last heard of, and is not
 // known to have ended since. A silent target counts as failed, but may still run.
-func (w *Tracker) Running() bool { return w.current != nil && w.current.state == dogwoodford.StateReady }
+func (w *Tracker) Running() bool {
+	return w.current != nil && w.current.state == dogwoodford.StateReady
+}
 
 // Current returns the target if it may be sent requests.
 func (w *Tracker) Current(now time.Time) (Target, bool) {
--- a/core/process/dogtarget/tracker_test.go
+++ b/core/process/dogtarget/tracker_test.go
@@ -33,6 +33,8 @@
 		effect = w.Observe(now, parseHeartbeat(t, f[2:])).String() + " "
 	case "leave":
 		w.MarkLeft(now, f[2])
+	case "leaving":
+		w.MarkDraining(f[2])
 	case "lost":
 		w.MarkFailed(f[2])
 	case "answered":
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -124,4 +124,5 @@
 	LogLinesDropped   = define(1814, "log-lines-dropped", slog.LevelWarn)
 	SettingsReloaded  = define(1815, "settings-reloaded", slog.LevelInfo)
 	SettingsRejected  = define(1816, "settings-rejected", slog.LevelError)
+	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 )
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -176,6 +176,14 @@
 	s.updateTargetState()
 }
 
+// MarkLeaving implements dogrelay.Local.
+func (s *state) MarkLeaving(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.target.MarkDraining(id)
+	s.updateTargetState()
+}
+
 // Targets implements dogrelay.Fleet.
 func (s *state) Targets() []dogwoodford.Target {
 	s.mu.Lock()
--- a/io/request/doggate/gate.go
+++ b/io/request/doggate/gate.go
@@ -36,6 +36,14 @@
 	g.admission.SetSlots(n)
 }
 
+// SetRate sets the number of requests that the target takes per second; 0 means
+// that it does not limit them.
+func (g *Gate) SetRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.SetRate(time.Now(), perSecond)
+}
+
 // Load returns the current load.
 func (g *Gate) Load() dogwoodford.Load {
 	g.mu.Lock()
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,8 @@
 	ExpectInstance string // ID of the only target that may run the request.
 	NotExecuted    string // Present if the target did not run the request.
 	Caller         string // Service of the local target of the entry.
+	Rate           string // Requests per second that a target takes from all nodes.
+	Leaving        string // Present if a target takes no new requests.
 }
 
 // Fleet is the view of the other nodes, which the relay reads and updates.
@@ -60,6 +63,8 @@
 	RecordAnswer(id string)
 	// MarkFailed records that the target with this ID no longer runs.
 	MarkFailed(id string)
+	// MarkLeaving records that the target with this ID takes no new requests.
+	MarkLeaving(id string)
 	// Leaving reports whether the node accepts no more requests from callers,
 	// because it could not answer them before it stops.
 	Leaving() bool
@@ -170,6 +175,8 @@
 type Handlers struct {
 	cfg        Config
 	running    *registry
+	followMu   sync.Mutex // Held while the guard follows advice of its target.
+	advised    adviceTable
 	inProgress atomic.Int64 // Requests in progress at entry and guard.
 }
 
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -29,7 +29,7 @@
 
 var testHeaders = Headers{
 	Attempt: "X-Attempt", Deadline: "X-Left", Seal: "X-Seal", ExpectInstance: "X-Expect",
-	NotExecuted: "X-Not-Run", Caller: "X-Caller",
+	NotExecuted: "X-Not-Run", Caller: "X-Caller", Rate: "X-Rate", Leaving: "X-Leaving",
 }
 
 // fakeTarget answers every request as its script specifies.
@@ -121,6 +121,10 @@
 	switch f.script {
 	case "ok":
 		head("200 OK", id, seal+whole)
+	case "limited":
+		head("200 OK", id, "X-Rate: 10.5\r\n"+seal+whole)
+	case "leaving":
+		head("200 OK", id, "X-Leaving: 1\r\n"+seal+whole)
 	case "unframed":
 		head("200 OK", id, seal+"\r\nbody")
 		return false
@@ -180,7 +184,12 @@
 func (w *fakeDeps) ConfigSeen(int64, string)      {}
 func (w *fakeDeps) RecordAnswer(string)           {}
 func (w *fakeDeps) Leaving() bool                 { return w.leaving }
-func (w *fakeDeps) RecordFirst(string)            {}
+func (w *fakeDeps) MarkLeaving(string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reason = dogwoodford.ReasonDraining
+}
+func (w *fakeDeps) RecordFirst(string) {}
 
 func (w *fakeDeps) RequestSent(string)        {}
 func (w *fakeDeps) RequestEnded(string, bool) {}
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -29,6 +29,11 @@
 		h.reply(w, h.refuseFull(c))
 		return
 	}
+	if a, err := parseAdvice(r.Header); err == nil {
+		h.adopt(r.Context(), a)
+	} else {
+		h.cfg.Log.Event(r.Context(), doglog.PeerCallRejected, doglog.Err(err))
+	}
 	c.body = streamBody(r.Body, r.ContentLength)
 	h.reply(w, h.guardCall(r.Context(), c))
 }
@@ -51,6 +56,9 @@
 
 func (h *Handlers) reply(w http.ResponseWriter, res *result) {
 	defer res.close()
+	if res.outcome == dogwoodford.OutcomeRan {
+		h.advised.of(h.cfg.Node).format(w.Header())
+	}
 	res.writePeer(w, h.cfg.Tables.Version())
 }
 
@@ -169,6 +177,9 @@
 		_ = resp.Body.Close()
 		return h.badAnswer(ctx, c, "response to another attempt")
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		h.follow(ctx, h.adviceOf(ctx, t.ID, resp.Header))
+	}
 	notRun := resp.Header.Get(hd.NotExecuted) != ""
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		h.cfg.Local.MarkFailed(t.ID)
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -120,6 +120,7 @@
 	}
 	out := c.outgoing(sendCtx, t.Peer)
 	h.formatCall(out.Header, c, time.Now())
+	h.advised.of(t.Node).format(out.Header)
 	h.cfg.Fleet.RequestSent(t.Node)
 	resp, stage, err := h.cfg.Peers.Do(out)
 	h.cfg.Fleet.RequestEnded(t.Node, err == nil)
@@ -164,6 +165,11 @@
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
 		return unknownOutcome(dogwoodford.ReasonBadAnswer)
 	}
+	if a, err := parseAdvice(resp.Header); err != nil {
+		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+	} else if res.outcome == dogwoodford.OutcomeRan {
+		h.advised.record(t.Node, a)
+	}
 	h.cfg.Fleet.ConfigSeen(version, t.Peer)
 	h.cfg.Pressure.AddReport(c.request(), t.Node, res.load.Cutoff, res.downstreamCutoff)
 	if res.reason == dogwoodford.ReasonNoTarget || res.reason == dogwoodford.ReasonDraining {
