dogfleet: entries that name no reachable node are rejected

Here such an entry became a target that is ready: each entry tried it, and counted its machine as silent, which adds to the share from which a node takes itself for cut off.

Change: an entry needs a node, a service, an IP address with a port, and a number of slots that a target can have.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -47,6 +48,16 @@
 		slices.EqualFunc(e.Crashes, other.Crashes, dogcrash.Report.Equal)
 }
 
+// maxSlots is the largest number of slots that an entry may name.
+const maxSlots = 1 << 20
+
+// Valid reports whether e describes a node that can be reached. Other writers may leave
+// entries that do not.
+func (e Entry) Valid() bool {
+	addr, err := netip.ParseAddrPort(e.Peer)
+	return err == nil && addr.Port() != 0 && e.Node != "" && e.Service != "" && e.Slots >= 0 && e.Slots <= maxSlots
+}
+
 // Fleet is the view that one node has of the others. It is not safe for
 // concurrent use.
 type Fleet struct {
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -234,7 +234,9 @@
 		return
 	}
 	for _, v := range entries {
-		p.state.put(v.Entry, v.Version)
+		if v.Entry.Valid() {
+			p.state.put(v.Entry, v.Version)
+		}
 	}
 }
 
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -85,7 +85,7 @@
 func (s *state) newEntryWatcher(store dogwoodford.Store) *kindWatcher {
 	take := func(o dogwoodford.Object) {
 		var e dogfleet.Entry
-		if err := json.Unmarshal(o.Value, &e); err != nil || e.Node != o.Name {
+		if err := json.Unmarshal(o.Value, &e); err != nil || e.Node != o.Name || !e.Valid() {
 			s.log.event(doglog.ObjectInvalid, slog.String("name", o.Name), doglog.Err(err))
 			return
 		}
