dogconn: bound the head of a response

A node read such a head into memory until the deadline of the request, up to six seconds at the speed of the machine, and callers waited for as long.

Cause: http.ReadResponse does not bound the status line and the headers, and 1xx responses were skipped without a bound on their number.

Evidence: TestOutcomes, responses without end: four kinds of head end with 504 at the deadline. Bodies were bounded: a megabyte is buffered, the rest is streamed, and one without a seal is given up.

Change: 64 KB before the body, informational responses included; then the connection is closed, and the request counts as sent. Idempotent ones go to another target.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,6 +22,40 @@
 // because the server would read a later call as the rest of the body.
 const bodyWriteGrace = 50 * time.Millisecond
 
+// maxHeadBytes bounds the status line and headers of a response, together with those
+// of the informational responses before it.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong means that a response has more than maxHeadBytes before its body.
+var errHeadTooLong = errors.New("response head too long")
+
+// headReader bounds the bytes that are read while the head of a response is read. A
+// faulty server may never end it.
+type headReader struct {
+	r       io.Reader
+	inHead  bool
+	allowed int // Bytes that may still be read in the head.
+}
+
+// start begins the head of a response.
+func (h *headReader) start() { h.inHead, h.allowed = true, maxHeadBytes }
+
+// end ends the head; what follows is not bounded.
+func (h *headReader) end() { h.inHead = false }
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.allowed == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.allowed)])
+	h.allowed -= n
+	return n, err
+}
+
 // pastDeadline is a deadline in the past. Setting it aborts reads and writes in
 // progress.
 var pastDeadline = time.Unix(1, 0)
@@ -123,6 +158,8 @@
 
 // read returns the final response. It skips informational (1xx) responses.
 func (x *exchange) read(req *http.Request) (*http.Response, error) {
+	x.pconn.head.start()
+	defer x.pconn.head.end()
 	for {
 		resp, err := http.ReadResponse(x.pconn.r, req)
 		if err != nil {
--- a/io/connection/dogconn/pool.go
+++ b/io/connection/dogconn/pool.go
@@ -40,6 +40,7 @@
 type pconn struct {
 	addr      string
 	conn      *conn
+	head      *headReader // Under r.
 	r         *bufio.Reader
 	w         *bufio.Writer
 	idleSince time.Time // End of the last call.
@@ -81,7 +82,10 @@
 		<-h.slots
 		return nil, err
 	}
-	return &pconn{addr: addr, conn: c, r: bufio.NewReaderSize(c, bufferBytes), w: bufio.NewWriterSize(c, bufferBytes)}, nil
+	head := &headReader{r: c}
+	return &pconn{
+		addr: addr, conn: c, head: head, r: bufio.NewReaderSize(head, bufferBytes), w: bufio.NewWriterSize(c, bufferBytes),
+	}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection; nil if
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -136,6 +137,20 @@
 		head("503 Service Unavailable", id, "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case "other":
 		head("421 Misdirected Request", id, "Content-Length: 0\r\n\r\n")
+	case "other-again": // An earlier refusal once more, in place of the response.
+		head("421 Misdirected Request", "earlier", "Content-Length: 0\r\n\r\n")
+	case "shed-again":
+		head("503 Service Unavailable", "earlier", "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	case "endless-head":
+		return endless(c, "HTTP/1.1 200 OK\r\n", "X-Filler: "+strings.Repeat("x", 1000)+"\r\n")
+	case "endless-line":
+		return endless(c, "HTTP/1.1 200 ", strings.Repeat("x", 1000))
+	case "endless-informational":
+		return endless(c, "", "HTTP/1.1 103 Early Hints\r\n\r\n")
+	case "endless-garbage":
+		return endless(c, "", strings.Repeat("x", 1000))
+	case "endless-body":
+		return endless(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\n\r\n", strings.Repeat("x", 1000))
 	case "truncate":
 		head("200 OK", id, seal+"Content-Length: 9\r\n\r\nbody")
 		return false
@@ -155,6 +170,15 @@
 	return true
 }
 
+// endless writes start, and then more again and again until the connection is closed.
+func endless(c net.Conn, start, more string) bool {
+	_, err := io.WriteString(c, start)
+	for err == nil {
+		_, err = io.WriteString(c, more)
+	}
+	return false
+}
+
 func (f *fakeTarget) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
