dogrelay: a refusal of an earlier request says nothing of this one

Cause: a 421 was taken as not run whatever attempt it named. A 503 with another attempt's id was rejected already.

Evidence: TestOutcomes, other-again: a request that may run once was sent to a second target, while the first may have run it.

Change: a 421 with another id counts as no answer. One without an id still counts as not run, as targets may not have read the request; to be sure that it is not an earlier one, a connection is not used again after a 421.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -107,7 +107,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	x.keepAlive = !resp.Close && !req.Close && resp.ProtoAtLeast(1, 1)
+	// After 421 the connection leads to another server than the caller expects.
+	x.keepAlive = !resp.Close && !req.Close && resp.ProtoAtLeast(1, 1) && resp.StatusCode != http.StatusMisdirectedRequest
 	if resp.Body == http.NoBody {
 		x.release(x.keepAlive)
 		return resp, nil
--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -190,3 +190,27 @@
 		}
 	}
 }
+
+// TestMisdirectedEndsConnection guards against a refusal that a faulty server writes once
+// more on a kept connection: without an ID it would be read as that of the next call.
+func TestMisdirectedEndsConnection(t *testing.T) {
+	addr, conns := rawServer(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	tr := NewTarget(Options{MaxConns: 1})
+	defer tr.Close()
+	for range 3 {
+		if _, stage, err := exchangeOnce(t, tr, addr, ""); err != nil {
+			t.Fatalf("stage %v, error %v", stage, err)
+		}
+	}
+	if n := conns.Load(); n != 3 {
+		t.Errorf("%d connections for three calls that were answered 421, want 3", n)
+	}
+}
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -171,7 +171,7 @@
 // handleTargetResponse validates the response of the target and reads its body.
 func (h *Handlers) handleTargetResponse(ctx context.Context, c *call, t dogtarget.Target, resp *http.Response) *result {
 	hd := h.cfg.Headers
-	if got := resp.Header.Get(hd.Attempt); got != c.id && c.id != "" && resp.StatusCode != http.StatusMisdirectedRequest {
+	if got := resp.Header.Get(hd.Attempt); got != c.id && c.id != "" && !isPlainMisdirected(resp, got) {
 		// Closing the body unread closes the connection, whose next response
 		// would belong to another request as well.
 		_ = resp.Body.Close()
@@ -208,6 +208,14 @@
 	}
 }
 
+// isPlainMisdirected reports whether a response with this attempt ID is a 421 without
+// an ID. Targets may leave it out, as they did not read the request. It cannot be an
+// earlier refusal that a faulty target writes once more, because the connection is not
+// used again after a 421.
+func isPlainMisdirected(resp *http.Response, attempt string) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest && attempt == ""
+}
+
 func (h *Handlers) badAnswer(ctx context.Context, c *call, problem string) *result {
 	h.cfg.Metrics.Add(dogmetric.MalformedAnswers, 1)
 	h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), problemAttr(problem))
