dogcrash: simulate the seeds of a line at the same time

The seeds of a line run at the same time, and a target is chosen without a permutation of all nodes. No line, seed count or bound changes.

--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,10 +95,15 @@
 			t.Fatalf("unknown field %q", name)
 		}
 	}
+	fleets := make([]*simFleet, fleetSeeds)
+	var wg sync.WaitGroup
+	for seed := range fleets {
+		fleets[seed] = newSimFleet(spec, uint64(seed))
+		wg.Go(fleets[seed].simulate)
+	}
+	wg.Wait()
 	broken, runs, refused := 0, 0, 0
-	for seed := range uint64(fleetSeeds) {
-		f := newSimFleet(spec, seed)
-		f.simulate()
+	for _, f := range fleets {
 		late := f.lateRuns()
 		runs += late
 		if late > lateAllowed*spec.crashing {
@@ -169,17 +175,21 @@
 	queue           simQueue
 	sent            int
 	nodes           []*simNode
+	byService       map[int][]*simNode
 	crashes         map[int][]time.Time // Runs of each crashing content that crashed a target.
 	refusedHarmless int
 }
 
 func newSimFleet(spec fleetSpec, seed uint64) *simFleet {
-	f := &simFleet{spec: spec, rnd: rand.New(rand.NewPCG(seed, 17)), now: start, crashes: make(map[int][]time.Time)}
+	f := &simFleet{spec: spec, rnd: rand.New(rand.NewPCG(seed, 17)), now: start, crashes: make(map[int][]time.Time),
+		byService: make(map[int][]*simNode)}
 	for i := range spec.nodes {
 		name := fmt.Sprint("n", i)
-		f.nodes = append(f.nodes, &simNode{
+		n := &simNode{
 			name: name, service: i % spec.services, detector: NewDetector(name, "1"), running: make(map[string]simRequest),
-		})
+		}
+		f.nodes = append(f.nodes, n)
+		f.byService[n.service] = append(f.byService[n.service], n)
 	}
 	return f
 }
@@ -231,8 +241,10 @@
 
 // target returns a random target of a service that is up, nil if there is none.
 func (f *simFleet) target(service int) *simNode {
-	for _, i := range f.rnd.Perm(len(f.nodes)) {
-		if n := f.nodes[i]; n.service == service && !n.down {
+	nodes := f.byService[service]
+	first := f.rnd.IntN(len(nodes))
+	for i := range nodes {
+		if n := nodes[(first+i)%len(nodes)]; !n.down {
 			return n
 		}
 	}
