--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -191,8 +191,8 @@
 	}
 }
 
-// explain takes back one crash of a content; recent tells whether the content was among the requests
-// that started last.
+// explain takes back one crash of a content; recent tells whether the content was
+// among the requests that started last.
 func (t *Table) explain(c *count, recent bool) {
 	c.crashes = max(0, c.crashes-1)
 	if recent {
