--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package dogcrash
 
 import (
@@ -13,6 +15,10 @@
 	"dogwoodford/internal/dogscript"
 )
 
+// The fleets in this file are simulated with one goroutine each, so the race detector
+// finds nothing in them and makes them ten times slower. The Makefile runs TestFleet
+// without it.
+
 // TestFleet guards against a content that keeps crashing targets although it has
 // crashed three. Each line of testdata/fleet.txtar describes a fleet that is
 // simulated with several seeds, and whether it stays within the bound.
