dogcrash: a content that completed earlier needs more evidence

Cause: contents count for each caller apart. A crashing content that enters at three services has one or two crashes for each; a popular content of one caller that was in progress at the same crashes reached three first, and was quarantined. Nodes that had seen it complete no longer vouched for it after a crash, so that no guard ran it, and nothing could clear it.

Change: a content that has completed at a node is quarantined there after twice as many crashes, and an entry that saw it complete, and does not quarantine it, has guards run it.

--- a/core/process/dogcrash/detector.go
+++ b/core/process/dogcrash/detector.go
@@ -125,8 +125,9 @@
 	return Report{ID: fmt.Sprint(d.name, "/cleared/", d.clearances), Shared: shared, Cleared: []uint64{digest}}
 }
 
-// HasCompleted reports whether a target is known to have completed a content since the
-// last crash at which it was in progress, for this caller or another.
+// HasCompleted reports whether a target is known to have completed a content, for this
+// caller. A node that knows it can vouch for the content as long as it does not
+// quarantine it itself.
 func (d *Detector) HasCompleted(c Content) bool {
 	return d.ownTab.HasCompleted(c.Own) && d.sharedTab.HasCompleted(c.Shared)
 }
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -62,6 +62,8 @@
 		}
 	case "crashes":
 		return s.crash(now, node)
+	case "vouches":
+		return fmt.Sprint(s.tables[node].HasCompleted(digest))
 	case "asks":
 		switch t := s.tables[node]; {
 		case t.QuarantineRemaining(now, digest) == 0:
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -20,6 +20,9 @@
 	// lateFactor times the threshold is the number of crashes after which a content is
 	// quarantined that does not crash its target when it begins to run.
 	lateFactor = 2
+	// completedFactor times the threshold is that of a content that has completed
+	// earlier.
+	completedFactor = 2
 	// settleTime is the time in which harmless contents among several suspected ones
 	// complete somewhere.
 	settleTime = time.Second
@@ -113,7 +116,7 @@
 		if i < len(r.recent()) {
 			c.recent++
 		}
-		if t.isSuspect(c) && !c.quarantined(now) {
+		if t.isSuspect(d, c) && !c.quarantined(now) {
 			suspects = append(suspects, d)
 		}
 	}
@@ -125,9 +128,14 @@
 	return ok
 }
 
-// isSuspect reports whether the content may be the cause of its crashes.
-func (t *Table) isSuspect(c *count) bool {
-	return c.recent >= t.threshold || c.crashes >= lateFactor*t.threshold
+// isSuspect reports whether the content may be the cause of its crashes. A content that
+// completed earlier needs more of them: it is popular and often in progress.
+func (t *Table) isSuspect(digest uint64, c *count) bool {
+	threshold := t.threshold
+	if t.HasCompleted(digest) {
+		threshold *= completedFactor
+	}
+	return c.recent >= threshold || c.crashes >= lateFactor*threshold
 }
 
 // decide quarantines the most probable cause among suspects and returns its digest. If
@@ -185,7 +193,7 @@
 		}
 		for i, d := range k.report.Digests {
 			if c := t.counts[d]; c != nil && d != digest {
-				t.explain(c, i < len(recent))
+				t.explain(d, c, i < len(recent))
 			}
 		}
 	}
@@ -193,12 +201,12 @@
 
 // explain takes back one crash of a content; recent tells whether the content was
 // among the requests that started last.
-func (t *Table) explain(c *count, recent bool) {
+func (t *Table) explain(digest uint64, c *count, recent bool) {
 	c.crashes = max(0, c.crashes-1)
 	if recent {
 		c.recent = max(0, c.recent-1)
 	}
-	if !t.isSuspect(c) {
+	if !t.isSuspect(digest, c) {
 		c.suspected = time.Time{}
 	}
 }
@@ -258,12 +266,16 @@
 	return c != nil && c.length > 0
 }
 
-// HasCompleted reports whether a target is known to have completed a content since
+// completedSince reports whether a target is known to have completed a content since
 // the last crash at which it was in progress.
+func (t *Table) completedSince(digest uint64) bool {
+	c := t.counts[digest]
+	return t.HasCompleted(digest) && (c == nil || !c.doubted)
+}
+
+// HasCompleted reports whether a target is known to have completed a content at any
+// time.
 func (t *Table) HasCompleted(digest uint64) bool {
-	if c := t.counts[digest]; c != nil && c.doubted {
-		return false
-	}
 	if _, ok := t.completed[digest]; ok {
 		return true
 	}
@@ -279,7 +291,7 @@
 	var suspects, doubtful []uint64
 	recent := 0
 	for i, d := range r.Digests {
-		if t.HasCompleted(d) {
+		if t.completedSince(d) {
 			doubtful = append(doubtful, d)
 			continue
 		}
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -25,8 +25,8 @@
 	body     *body
 	content  dogcrash.Content
 	// cleared tells whether guards run the content although it may be quarantined:
-	// the entry knows that a target completed it since the last crash at which it
-	// was in progress, or tests it.
+	// the entry knows that a target completed it and does not quarantine it, or
+	// tests it.
 	cleared bool
 }
 
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -80,8 +80,7 @@
 	DispatchEnded(id string, unanswered bool)
 	// RecordCompletion records that a target completed a content.
 	RecordCompletion(c dogcrash.Content)
-	// HasCompleted reports whether a target is known to have completed a content
-	// since the last crash at which it was in progress.
+	// HasCompleted reports whether a target is known to have completed a content.
 	HasCompleted(c dogcrash.Content) bool
 	// QuarantineRemaining returns how much longer a content is refused, 0 if it is
 	// not quarantined.
