dogrelay: look at the target's state only for calls that carry advice

The cheap checks now come first. No decision changes; the package's tests and those of dogsidecar pass.

--- a/io/request/dogrelay/advice.go
+++ b/io/request/dogrelay/advice.go
@@ -109,8 +109,10 @@
 // adopt makes the guard act on advice that an entry heard from its target. What the
 // guard has heard itself is newer, but for a target that is leaving, which is final.
 func (h *Handlers) adopt(ctx context.Context, a advice) {
-	t, _ := h.cfg.Local.Current()
-	if a.empty() || t.ID != a.target {
+	if a.empty() {
+		return
+	}
+	if t, _ := h.cfg.Local.Current(); t.ID != a.target {
 		return
 	}
 	if own := h.advised.of(h.cfg.Node); own.target == a.target {
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -80,7 +80,7 @@
 	if res.reason == dogwoodford.ReasonQuarantined {
 		return false // Other guards know of the crashes too.
 	}
-	if h.cfg.Crashes.QuarantineRemaining(c.content) > 0 && res.mayHaveArrived {
+	if res.mayHaveArrived && h.cfg.Crashes.QuarantineRemaining(c.content) > 0 {
 		return false // The content may have crashed that target.
 	}
 	if !res.mayHaveArrived {
