--- a/review/stand/reuse.go
+++ b/review/stand/reuse.go
@@ -41,16 +41,7 @@
 	time.Sleep(3 * time.Second)
 	if e.trouble {
 		for i, old := range gone {
-			fresh := &machine{name: fmt.Sprintf("desk-%d", 20+i), service: "desk", zone: old.zone, ip: old.ip, p: old.p, dir: old.dir, rec: old.rec, storeAddr: old.storeAddr}
-			e.machines = append(e.machines, fresh)
-			if err := fresh.startNode(); err != nil {
-				return false, err
-			}
-			if err := fresh.awaitListening(); err != nil {
-				return false, err
-			}
-			fresh.worker = e.newWorker(fresh, fmt.Sprintf("i-%04d", 20+i), nil)
-			if err := fresh.worker.start(); err != nil {
+			if err := e.reuseAddress(old, 20+i); err != nil {
 				return false, err
 			}
 		}
@@ -67,3 +58,20 @@
 	}
 	return 4*served(after) < len(after), nil
 }
+
+// reuseAddress starts a machine of the service desk at the address of one that is gone.
+func (e *env) reuseAddress(old *machine, n int) error {
+	fresh := &machine{
+		name: fmt.Sprintf("desk-%d", n), service: "desk", zone: old.zone, ip: old.ip, p: old.p, dir: old.dir,
+		rec: old.rec, storeAddr: old.storeAddr,
+	}
+	e.machines = append(e.machines, fresh)
+	if err := fresh.startNode(); err != nil {
+		return err
+	}
+	if err := fresh.awaitListening(); err != nil {
+		return err
+	}
+	fresh.worker = e.newWorker(fresh, fmt.Sprintf("i-%04d", n), nil)
+	return fresh.worker.start()
+}
