--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -69,7 +70,8 @@
 
 // start listens at the worker's address and sends heartbeats.
 func (w *worker) start() error {
-	ln, err := net.Listen("tcp", w.m.at(w.m.p.app))
+	lc := net.ListenConfig{Control: setWindow}
+	ln, err := lc.Listen(context.Background(), "tcp", w.m.at(w.m.p.app))
 	if err != nil {
 		return err
 	}
@@ -87,6 +89,21 @@
 	return nil
 }
 
+// windowBytes is the receive buffer of a worker's connections: links have small windows, so
+// that a worker that does not read blocks the writer.
+const windowBytes = 64 << 10
+
+func setWindow(_, _ string, c syscall.RawConn) error {
+	var sockErr error
+	err := c.Control(func(fd uintptr) {
+		sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return sockErr
+}
+
 // stop ends the worker at once, as a crash does.
 func (w *worker) stop() {
 	w.once.Do(func() {
