dogsidecar: logs and metrics of lag, late answers and departures

Cause: nothing in the logs tells a node that lacks processor time from one that treats a request wrongly. A deadline travels as a span, so that a request which waited unread looks as fresh as any other.

Event 1119 names each request answered over 250 ms past its timeout, with the lag. The metric departures counts requests whose caller had left, before or after they were sent on, at entry and guard.

Tests: doglag TestMonitor, TestOverdueMeasurement, TestServe. No decision of the node changes.

--- /dev/null
+++ b/io/process/doglag/doglag_test.go
@@ -0,0 +1,80 @@
+package doglag
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestMonitor guards against a process that does not notice that it is late, or that
+// still counts as late long after it has caught up. Each line of testdata/lags.txt has
+// how late each measurement ends, in ms, and the lag after each.
+func TestMonitor(t *testing.T) {
+	data, err := os.ReadFile("testdata/lags.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	for line := range strings.Lines(string(data)) {
+		lates, _, _ := strings.Cut(strings.TrimSpace(line), " -> ")
+		synctest.Test(t, func(*testing.T) {
+			m := New(func(time.Duration) {})
+			got.WriteString(lates + " ->")
+			for late := range strings.FieldsSeq(lates) {
+				d, err := time.ParseDuration(late)
+				if err != nil {
+					t.Fatal(err)
+				}
+				m.setDue(time.Now())
+				m.record(time.Now().Add(d))
+				m.setDue(time.Now().Add(interval))
+				got.WriteString(" " + m.Lag().String())
+			}
+			got.WriteString("\n")
+		})
+	}
+	if diff := cmp.Diff(string(data), got.String()); diff != "" {
+		t.Errorf("mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// TestOverdueMeasurement guards against a lag that is seen only when it is over.
+func TestOverdueMeasurement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(func(time.Duration) {})
+		if got := m.Lag(); got != 0 {
+			t.Errorf("lag %v before the first measurement, want 0", got)
+		}
+		m.setDue(time.Now())
+		time.Sleep(700 * time.Millisecond)
+		if got := m.Lag(); got != 700*time.Millisecond {
+			t.Errorf("lag %v, want 700ms", got)
+		}
+	})
+}
+
+// TestServe guards against a monitor that does not measure again.
+func TestServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		m := New(func(lag time.Duration) {
+			n++
+			if lag != 0 {
+				t.Errorf("lag %v of an idle process", lag)
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second+time.Millisecond)
+		defer cancel()
+		if err := m.Serve(ctx); err != context.DeadlineExceeded {
+			t.Errorf("error %v", err)
+		}
+		if n != int(time.Second/interval) {
+			t.Errorf("%d measurements in a second", n)
+		}
+	})
+}
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -15,6 +15,7 @@
 	TraceExportFailed  = define(1009, "trace-export-failed", slog.LevelWarn)
 	AdminRequestFailed = define(1010, "admin-request-failed", slog.LevelWarn)
 	StopStep           = define(1011, "stop-step", slog.LevelInfo)
+	NodeLagging        = define(1012, "node-lagging", slog.LevelWarn)
 )
 
 // Events of requests: 1100 to 1199. They can occur for each request and have to
@@ -37,6 +38,7 @@
 	TargetUnanswered   = define(1116, "target-unanswered", slog.LevelWarn)
 	PeerUnanswered     = define(1117, "peer-unanswered", slog.LevelWarn)
 	PeerCallRejected   = define(1118, "peer-call-rejected", slog.LevelWarn)
+	RequestLate        = define(1119, "request-late", slog.LevelWarn)
 )
 
 // Events of the target beside the node: 1200 to 1299.
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -12,6 +12,8 @@
 	BytesIn        = define("bytes_in", Counter, "bytes")
 	BytesOut       = define("bytes_out", Counter, "bytes")
 	Panics         = define("panics", Counter, "requests")
+	Departures     = define("departures", Labelled, "stage")
+	SchedulingLag  = define("scheduling_lag", Latency, "ms")
 )
 
 // Metrics of retries and child calls.
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -19,6 +19,7 @@
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/connection/dogpipeline"
+	"dogwoodford/io/process/doglag"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
 	"dogwoodford/io/process/dogserve"
@@ -75,6 +76,7 @@
 	dialect        Dialect
 	store          dogwoodford.Store
 	progress       *progress
+	lag            *doglag.Monitor
 	settingsSource SettingsSource
 	servers        []*dogserve.Server
 	requestServers []*dogserve.Server // Those of servers that take requests of callers and other nodes.
@@ -115,6 +117,7 @@
 		settings: settings, log: newLogger(out, settings.Node), metrics: dogmetric.NewSet(),
 		dialect: dialect, store: store, progress: newProgress(),
 	}
+	n.lag = n.newLagMonitor()
 	tables := new(dogtable.Holder)
 	split := dogtable.NewSplit()
 	n.state = newState(settings, n.log, tables.Version)
@@ -148,7 +151,7 @@
 		Target: dogconn.NewTarget(dogconn.Options{
 			MaxConns: maxConns, IdleTimeout: targetIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
 		}),
-		Log: n.log, Metrics: n.metrics, MaxInProgress: settings.MemoryBytes / bytesPerRequest,
+		Log: n.log, Metrics: n.metrics, Lag: n.lag.Lag, MaxInProgress: settings.MemoryBytes / bytesPerRequest,
 	})
 	n.servers = n.newServers()
 	n.requestServers = n.servers[:2]
@@ -253,6 +256,7 @@
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
 	sup.Add(dogserve.Func("reload", n.reload))
+	sup.Add(n.lag)
 	for _, s := range n.servers {
 		sup.Add(s)
 	}
--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -37,6 +37,8 @@
 	return slog.Int64("left_ms", c.deadline.Sub(now).Milliseconds())
 }
 
+func lagAttr(d time.Duration) slog.Attr { return slog.Int64("lag_ms", d.Milliseconds()) }
+
 func heldAttr(n int64) slog.Attr { return slog.Int64("held", n) }
 
 // contentAttr formats the content as the events about crashes do. It is empty if
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -172,6 +172,8 @@
 	Target        *dogconn.Transport
 	Log           Log
 	Metrics       *dogmetric.Set
+	// Lag returns how late the process currently gets to work that is due.
+	Lag func() time.Duration
 	// MaxInProgress bounds the requests in progress at entry and guard
 	// together, because each takes memory; 0 means no bound.
 	MaxInProgress int64
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -33,6 +33,8 @@
 	if h.cfg.Local.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	h.logLate(ctx, c, res)
+	h.recordDeparture(ctx, c != nil && c.attempt > 0, entrySent, entryUnsent)
 	res.write(ctx, w, h.cfg.Headers.Attempt, id)
 	h.cfg.Metrics.Observe(dogmetric.EntryLatency, time.Since(start))
 }
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -458,6 +458,7 @@
 		Pressure: n, Trees: n, Gate: doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 4, Rand: rnd})),
 		Router: doggate.NewBalancer(inOrder{}), Peers: dogconn.NewPeer(dogconn.Options{}),
 		Target: dogconn.NewTarget(dogconn.Options{}), Log: n, Metrics: dogmetric.NewSet(),
+		Lag: func() time.Duration { return 0 },
 	})
 	n.entry, n.guard = httptest.NewServer(n.relay.Entry()), httptest.NewServer(n.relay.Guard())
 	t.Cleanup(n.entry.Close)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -65,6 +65,7 @@
 // the load of the target.
 func (h *Handlers) guardCall(ctx context.Context, c *call) *result {
 	res := h.admit(ctx, c)
+	h.recordDeparture(ctx, res.outcome != dogwoodford.OutcomeNotRun, guardSent, guardUnsent)
 	load := h.cfg.Gate.Load()
 	res.load = &load
 	res.downstreamCutoff = h.cfg.Pressure.DownstreamCutoff(c.request(), load.Cutoff)
--- /dev/null
+++ b/io/request/dogrelay/observe.go
@@ -0,0 +1,48 @@
+package dogrelay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogmetric"
+)
+
+// Labels of dogmetric.Departures.
+const (
+	entryUnsent = "entry-unsent"
+	entrySent   = "entry-sent"
+	guardUnsent = "guard-unsent"
+	guardSent   = "guard-sent"
+)
+
+// recordDeparture counts a request that has ended after its caller left. sent tells
+// whether it had been sent on by then.
+func (h *Handlers) recordDeparture(ctx context.Context, sent bool, sentLabel, unsentLabel string) {
+	if ctx.Err() == nil {
+		return
+	}
+	if sent {
+		h.cfg.Metrics.AddTo(dogmetric.Departures, sentLabel, 1)
+		return
+	}
+	h.cfg.Metrics.AddTo(dogmetric.Departures, unsentLabel, 1)
+}
+
+// lateTolerance is how long after its deadline a request may be answered without a log
+// line. It exceeds answerGrace by some round trips.
+const lateTolerance = 250 * time.Millisecond
+
+// logLate logs a request that was answered well after its deadline.
+func (h *Handlers) logLate(ctx context.Context, c *call, res *result) {
+	if c == nil {
+		return
+	}
+	late := time.Since(c.deadline)
+	if late <= lateTolerance {
+		return
+	}
+	h.cfg.Log.Event(ctx, doglog.RequestLate, idAttr(c.id), slog.Int64("late_ms", late.Milliseconds()), lagAttr(h.cfg.Lag()),
+		serviceAttr(c.service), attemptsAttr(c.attempt), reasonAttr(res.reason), outcomeAttr(res.outcome))
+}
