dogpipeline: notice clients that leave behind their last request

What callers saw: a request with Connection: close was worked on to its end although its client had left.

Cause: after a request that closes its connection the server read nothing more, neither to find further requests nor to see the end of the connection. With a body it saw the end but took it for one that was known.

Change: the connection is read until the last request has ended; what the client sends behind it is dropped, and its end cancels the request.

--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -123,8 +123,7 @@
 	if !c.awaitRequest() {
 		return nil, errClosed
 	}
-	_, err := c.br.Peek(1)
-	if err != nil {
+	if err := c.peek(); err != nil {
 		return nil, fmt.Errorf("%w: %w", errDeparted, err)
 	}
 	if !c.beginRequest() {
@@ -155,6 +154,23 @@
 	errNoHost   = errors.New("request without Host")
 )
 
+// busy reports whether requests are in progress.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight > 0
+}
+
+// peek waits for the next byte of the client. If it has left, the requests in progress
+// are cancelled.
+func (c *conn) peek() error {
+	_, err := c.br.Peek(1)
+	if err != nil && c.busy() {
+		c.cancel() // Nobody waits for the responses.
+	}
+	return err
+}
+
 // awaitRequest prepares the connection for the next request and reports whether one
 // may be read.
 func (c *conn) awaitRequest() bool {
@@ -226,7 +242,7 @@
 // awaitBarrier waits for the end of a request that holds up those behind it. Until the
 // next one begins to arrive, it watches for the departure of the client.
 func (c *conn) awaitBarrier(resp *response) bool {
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.peek(); err != nil {
 		c.endReading(fmt.Errorf("%w: %w", errDeparted, err), resp.done)
 		return false
 	}
@@ -308,14 +324,15 @@
 	c.mu.Lock()
 	wasClosed, departed := c.closed, errors.Is(err, errDeparted)
 	c.closed, c.reading = true, false
-	if !departed {
+	if !departed && !wasClosed {
 		c.inFlight++ // The response below, so that no earlier one counts as the last.
 	}
 	c.mu.Unlock()
-	if wasClosed {
+	switch {
+	case wasClosed:
+		c.awaitLast()
 		return
-	}
-	if departed {
+	case departed:
 		c.cancel() // Nobody waits for the responses, or no request will follow.
 		return
 	}
@@ -328,6 +345,17 @@
 	_ = c.bw.Flush() // The client learns the same from the end of the connection.
 }
 
+// awaitLast waits for the end of the last requests of the connection, or for the
+// departure of the client. Whatever else the client sends is dropped.
+func (c *conn) awaitLast() {
+	for c.busy() {
+		if c.peek() != nil {
+			return
+		}
+		_, _ = c.br.Discard(c.br.Buffered()) // These bytes are there.
+	}
+}
+
 // finish closes the connection after its last response.
 func (c *conn) finish() {
 	_ = c.bw.Flush() // A failure means that the client is gone.
