dogpipeline: do not run requests whose client left before they were read

What callers saw: work went on for callers that had left (GONE).

Cause: the handler started before the server had looked whether the client is still there. A server that lacks processor time reads a request long after it was sent, often together with the end of its connection. A request without a body lost a race against its own cancellation; one with a body always ran, as the server looks for the end of the connection only behind the body.

Change: the handler is called by the read that waits for the next bytes, once that would block, and with a cancelled context if it finds the end instead. A body ends for its handler after the same look, with an error if the client has left. This takes no further system call.

--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -1,6 +1,7 @@
 package dogpipeline
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 	resp    *response
 	src     io.Reader
 	ended   chan struct{} // Closed when the body has been read to its end or has failed.
+	checked chan struct{} // Closed when the server has looked for the departure of the client after that.
+	once    sync.Once     // Closes checked.
 	expects atomic.Bool   // The client waits for 100 Continue before it sends the body.
 	whole   atomic.Bool   // The body was read to its end.
 	failed  atomic.Bool
@@ -45,10 +48,35 @@
 	n, err := b.src.Read(p)
 	if err != nil {
 		b.fail(err)
+		b.awaitCheck()
+	}
+	if b.resp.c.ctx.Err() != nil {
+		return 0, errLeft
 	}
 	return n, err
 }
 
+// errLeft means that the client has left. A handler must not take a body that arrived
+// before for one that somebody waits for.
+var errLeft = errors.New("the client has left")
+
+// awaitCheck waits until the server has looked for the departure of the client.
+func (b *requestBody) awaitCheck() {
+	select {
+	case <-b.checked:
+	case <-b.resp.c.ctx.Done():
+	}
+}
+
+// markChecked ends awaitCheck if the body has been read to its end.
+func (b *requestBody) markChecked() {
+	select {
+	case <-b.ended:
+		b.once.Do(func() { close(b.checked) })
+	default:
+	}
+}
+
 // sendContinue tells a client that waits for it to send the body.
 func (b *requestBody) sendContinue() error {
 	if !b.expects.Swap(false) {
--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -46,6 +46,7 @@
 	cancel context.CancelFunc
 
 	body    *requestBody  // Body of the last request that has one; nil if none has.
+	waiting *response     // Started request whose handler is called at the next peek; nil if none.
 	slots   chan struct{} // Semaphore; holds one element per request in progress.
 	running sync.WaitGroup
 
@@ -56,34 +57,8 @@
 	state    http.ConnState
 }
 
-// source is the reading side of a connection. It bounds the bytes of a head and
-// records when the last bytes arrived.
-type source struct {
-	conn    net.Conn
-	inHead  bool
-	allowed int       // Bytes that may still be read in the head.
-	last    time.Time // Time of the last read.
-	err     error     // Error of the last read.
-}
-
-var errHeadTooLong = errors.New("request head too long")
-
-// Read implements io.Reader.
-func (s *source) Read(p []byte) (int, error) {
-	if s.inHead {
-		if s.allowed <= 0 {
-			return 0, errHeadTooLong
-		}
-		p = p[:min(len(p), s.allowed)]
-	}
-	n, err := s.conn.Read(p)
-	s.last, s.err = time.Now(), err
-	s.allowed -= n
-	return n, err
-}
-
 func newConn(s *Server, rwc net.Conn) *conn {
-	c := &conn{srv: s, rwc: rwc, src: &source{conn: rwc}, slots: make(chan struct{}, maxAhead)}
+	c := &conn{srv: s, rwc: rwc, src: newSource(rwc), slots: make(chan struct{}, maxAhead)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -154,23 +129,40 @@
 	errNoHost   = errors.New("request without Host")
 )
 
-// busy reports whether requests are in progress.
-func (c *conn) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.inFlight > 0
-}
-
-// peek waits for the next byte of the client. If it has left, the requests in progress
-// are cancelled.
+// peek waits for the next byte of the client, and calls the handler of the request that
+// waits for that. It calls it as soon as it is known that the client has not left yet, as
+// far as the connection can tell, or else with a context that is cancelled: the request
+// may have arrived long ago.
 func (c *conn) peek() error {
+	c.src.beforeWait = c.callHandler
 	_, err := c.br.Peek(1)
+	c.src.beforeWait = nil
 	if err != nil && c.busy() {
 		c.cancel() // Nobody waits for the responses.
 	}
+	c.callHandler()
 	return err
 }
 
+// callHandler calls the handler of the request that waits for it, if any, or lets the
+// handler of the last request go on behind the end of its body.
+func (c *conn) callHandler() {
+	if c.body != nil {
+		c.body.markChecked()
+	}
+	if c.waiting != nil {
+		go c.handle(c.waiting)
+		c.waiting = nil
+	}
+}
+
+// busy reports whether requests are in progress.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight > 0
+}
+
 // awaitRequest prepares the connection for the next request and reports whether one
 // may be read.
 func (c *conn) awaitRequest() bool {
@@ -226,11 +218,12 @@
 	}
 	c.slots <- struct{}{}
 	c.running.Add(1)
-	go c.handle(resp)
+	c.waiting = resp
 	if resp.parallel() {
 		return true
 	}
 	if resp.body != nil {
+		c.callHandler()
 		select {
 		case <-resp.body.ended:
 		case <-resp.done:
--- /dev/null
+++ b/io/connection/dogpipeline/departure_test.go
@@ -0,0 +1,73 @@
+package dogpipeline
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// departures counts the requests whose client has not left when their body was read.
+type departures struct {
+	mu      sync.Mutex
+	present map[string]int
+	seen    int
+}
+
+// ServeHTTP implements http.Handler.
+func (d *departures) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	_, err := io.Copy(io.Discard, r.Body)
+	left := err != nil || r.Context().Err() != nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen++
+	if !left {
+		d.present[r.Method]++
+	}
+}
+
+// TestDepartedBeforeRead guards against running requests whose client had left before the
+// server, which was short of processor time, came to read them.
+func TestDepartedBeforeRead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const clients = 40
+	for i := range clients {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		if i%2 > 0 {
+			request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+		}
+		if _, err := fmt.Fprint(c, request); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	d := &departures{present: make(map[string]int)}
+	srv := &Server{Handler: d}
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		seen := d.seen
+		d.mu.Unlock()
+		if seen == clients {
+			break
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if diff := cmp.Diff(map[string]int{}, d.present); diff != "" || d.seen != clients {
+		t.Errorf("%d of %d requests seen; those that ran for nobody (-want +got):\n%s", d.seen, clients, diff)
+	}
+}
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, &exchange{turn: turn, arrived: arrived}))
 	r := &response{c: c, cancel: cancel, turn: turn, done: make(chan struct{}), header: make(http.Header)}
 	if req.Body != http.NoBody {
-		r.body = &requestBody{resp: r, src: req.Body, ended: make(chan struct{})}
+		r.body = &requestBody{resp: r, src: req.Body, ended: make(chan struct{}), checked: make(chan struct{})}
 		r.body.expects.Store(expectsContinue(req))
 		req.Body = r.body
 	}
--- /dev/null
+++ b/io/connection/dogpipeline/source.go
@@ -0,0 +1,92 @@
+package dogpipeline
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// source is the reading side of a connection. It bounds the bytes of a head and
+// records when the last bytes arrived.
+type source struct {
+	conn    net.Conn
+	raw     syscall.RawConn // nil if conn has none.
+	inHead  bool
+	allowed int       // Bytes that may still be read in the head.
+	last    time.Time // Time of the last read.
+	err     error     // Error of the last read.
+	// beforeWait, if set, is called before Read waits for bytes: if there are none yet
+	// and the connection is open, as far as this can be told without waiting.
+	beforeWait func()
+}
+
+var errHeadTooLong = errors.New("request head too long")
+
+func newSource(c net.Conn) *source {
+	s := &source{conn: c}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			s.raw = raw
+		}
+	}
+	return s
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if s.inHead {
+		if s.allowed <= 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(len(p), s.allowed)]
+	}
+	n, err := s.read(p)
+	s.last, s.err = time.Now(), err
+	s.allowed -= n
+	return n, err
+}
+
+func (s *source) read(p []byte) (int, error) {
+	if s.beforeWait == nil {
+		return s.conn.Read(p)
+	}
+	if s.raw == nil {
+		s.beforeWait()
+		return s.conn.Read(p)
+	}
+	return s.readOrNotify(p)
+}
+
+// readOrNotify is read for connections of the operating system. It costs one system
+// call if bytes are there, as net.Conn.Read does.
+func (s *source) readOrNotify(p []byte) (int, error) {
+	var n int
+	var readErr error
+	err := s.raw.Read(func(fd uintptr) bool {
+		for {
+			n, readErr = unix.Read(int(fd), p)
+			if !errors.Is(readErr, unix.EINTR) {
+				break
+			}
+		}
+		if errors.Is(readErr, unix.EAGAIN) {
+			s.beforeWait()
+			return false
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, fmt.Errorf("read from client: %w", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
