dogsidecar: guards do not run calls whose entry left before they were read

What callers saw: requests reached targets long after their callers had left.

Cause: as in the server for callers, but at the guard, whose listener was an http.Server: it starts the handler first and looks for the end of the connection afterwards, and behind a body that was not read it does not look at all. The guards of a service that all others call lack processor time first, and the deadline of a call is a span, so that a call that waited unread looks fresh.

Change: the listener for other nodes is served by dogpipeline.

--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -190,8 +190,8 @@
 		control.ServeHTTP(w, r)
 	})
 	servers := []*dogserve.Server{
-		dogserve.NewPipelined("outbound", n.settings.Outbound, n.newOutbound()),
-		newServer("inbound", n.settings.Inbound, inbound),
+		dogserve.NewPipelined("outbound", n.settings.Outbound, n.newRequestServer(n.progress.track(entryPart, n.relay.Entry()))),
+		dogserve.NewPipelined("inbound", n.settings.Inbound, n.newRequestServer(inbound)),
 		newServer("ready", n.settings.Ready, n.dialect.Ready(n.ready)),
 		newServer("control", n.settings.Control, n.dialect.Control(n.state)),
 	}
@@ -216,10 +216,11 @@
 	})
 }
 
-// newOutbound returns the server for callers, who may send requests ahead of responses.
-func (n *node) newOutbound() *dogpipeline.Server {
+// newRequestServer returns a server for requests of callers, who may send them ahead of
+// responses, or of other nodes. It does not run requests whose sender has left.
+func (n *node) newRequestServer(h http.Handler) *dogpipeline.Server {
 	return &dogpipeline.Server{
-		Handler: n.progress.track(entryPart, n.relay.Entry()), HeadTimeout: headTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: h, HeadTimeout: headTimeout, IdleTimeout: callerIdleTimeout,
 		Panicked: func(v any) { n.log.event(doglog.RequestPanicked, slog.Any("panic", v)) },
 	}
 }
