dogrelay: bound the memory of all buffered bodies together

What callers saw, reported by another operator: a faulty worker sent bytes without end, the machine that had called it kept them, ran out of memory, and the requests of all clients on it ended.

Cause: each body was buffered up to 1 MB, so that it can be sent again or held back until it is complete, and nothing bounded the sum. A node of 184 MB has up to 1,177 requests in progress. Heads were bounded already.

Beyond it a body is streamed as one over 1 MB always was: it is not cut, but cannot be sent again. TestBufferedBodies compares bodies around each bound.

--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -41,6 +41,9 @@
 	// its goroutines and the buffers of up to four connections, doubled because
 	// the garbage collector lets as much garbage accumulate.
 	bytesPerRequest = 160 << 10
+	// bufferedMemoryDivisor is the part of the memory, as a divisor, that the buffered
+	// parts of long bodies may take together.
+	bufferedMemoryDivisor = 8
 	// initialSlots is the number of the target's slots that is assumed until
 	// its first heartbeat. No request is sent to the target before that.
 	initialSlots = 16
@@ -152,6 +155,7 @@
 			MaxConns: maxConns, IdleTimeout: targetIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
 		}),
 		Log: n.log, Metrics: n.metrics, Lag: n.lag.Lag, MaxInProgress: settings.MemoryBytes / bytesPerRequest,
+		MaxBufferedBytes: settings.MemoryBytes / bufferedMemoryDivisor,
 	})
 	n.servers = n.newServers()
 	n.requestServers = n.servers[:2]
--- a/io/request/dogrelay/body.go
+++ b/io/request/dogrelay/body.go
@@ -7,36 +7,15 @@
 	"net/http"
 )
 
-// body is the body of a request or a response. Up to maxBufferedBytes are
-// buffered in memory; the rest of longer ones can be read once.
+// body is the body of a request or a response. It is buffered in memory as far as
+// buffers permits; the rest can be read once.
 type body struct {
 	buffered     []byte
 	rest         io.Reader // Bytes after buffered; nil if buffered is the whole body.
 	length       int64     // In bytes; -1 if unknown.
 	restAttached bool      // attach has passed rest to a request.
-}
-
-// readBody buffers up to maxBufferedBytes of src. length is the declared length
-// in bytes, -1 if unknown.
-func readBody(src io.Reader, length int64) (*body, error) {
-	if src == nil || src == http.NoBody || length == 0 {
-		return &body{}, nil
-	}
-	var buf bytes.Buffer
-	if length > 0 {
-		buf.Grow(int(min(length, maxBufferedBytes)) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buf, io.LimitReader(src, maxBufferedBytes))
-	if err != nil {
-		return nil, fmt.Errorf("read body after %d bytes: %w", n, err)
-	}
-	b := &body{buffered: buf.Bytes(), length: length}
-	if n < maxBufferedBytes || n == length {
-		b.length = n
-		return b, nil
-	}
-	b.rest = src
-	return b, nil
+	buffers      *buffers  // Bounds the buffered part; nil if reserved is 0.
+	reserved     int64     // Bytes reserved in buffers.
 }
 
 // streamBody returns a body of which nothing is buffered.
--- /dev/null
+++ b/io/request/dogrelay/buffers_test.go
@@ -0,0 +1,121 @@
+package dogrelay
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/io/request/doggate"
+)
+
+// TestEndlessBodies guards against a node that runs out of memory because a faulty target
+// sends bodies without end, while callers read slowly.
+func TestEndlessBodies(t *testing.T) {
+	const (
+		requests    = 150
+		timeout     = 3 * time.Second
+		bufferBytes = 8 << 20
+		// maxHeapBytes is what both nodes and the target, which share this process, may
+		// take: the bounds of both nodes for buffers, and what a node sets aside for a
+		// request, twice.
+		maxHeapBytes = 2*bufferBytes + requests*2*160<<10
+	)
+	entry := newTestNode(t, "entry", "billing", "refuse", timeout)
+	guard := newTestNode(t, "guard", "rounds", "endless-sealed", timeout)
+	guard.relay.cfg.Gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 2 * requests, Rand: rand.New(rand.NewPCG(1, 2))}))
+	entry.relay.buffers.limit, guard.relay.buffers.limit = bufferBytes, bufferBytes
+	entry.addGuards(guard)
+	before := liveBytes()
+	var callers []net.Conn
+	for i := range requests {
+		c, err := net.Dial("tcp", entry.entry.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, c)
+		fmt.Fprintf(c, "GET /download/x HTTP/1.1\r\nHost: h\r\n%s: a%d\r\n\r\n", testHeaders.Attempt, i)
+	}
+	// By then each response waits for its caller to read, and nothing is allocated.
+	time.Sleep(timeout - time.Second)
+	held := liveBytes() - before
+	if n := guard.target.count(); n < requests/2 {
+		t.Errorf("%d requests reached the target, want %d at least", n, requests/2)
+	}
+	if held > maxHeapBytes {
+		t.Errorf("%d MB are held, want at most %d", held>>20, maxHeapBytes>>20)
+	}
+	if n := entry.relay.buffers.used.Load() + guard.relay.buffers.used.Load(); n > 2*bufferBytes {
+		t.Errorf("%d MB are buffered, want at most %d", n>>20, 2*bufferBytes>>20)
+	}
+	for _, c := range callers {
+		c.Close()
+	}
+	for end := time.Now().Add(timeout); time.Now().Before(end) && entry.relay.buffers.used.Load()+guard.relay.buffers.used.Load() > 0; {
+		time.Sleep(time.Millisecond)
+	}
+	if n := entry.relay.buffers.used.Load() + guard.relay.buffers.used.Load(); n != 0 {
+		t.Errorf("%d bytes are reserved after the requests have ended", n)
+	}
+}
+
+// liveBytes returns the bytes of the heap that are in use.
+func liveBytes() int64 {
+	runtime.GC()
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return int64(live[0].Value.Uint64())
+}
+
+// TestBufferedBodies guards against bodies that are changed by the bounds of buffers, and
+// against reservations that are not given back. Each line of testdata/buffers.txt has the
+// bound of all buffers, the length of a body, whether it is declared, how much is
+// buffered, whether the rest is streamed, and what is reserved.
+func TestBufferedBodies(t *testing.T) {
+	data, err := os.ReadFile("testdata/buffers.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	for line := range strings.Lines(string(data)) {
+		var limit int64
+		var length int
+		var declared string
+		if _, err := fmt.Sscan(line, &limit, &length, &declared); err != nil {
+			t.Fatal(err)
+		}
+		want := largeBody[:length]
+		known := int64(length)
+		if declared == "chunked" {
+			known = -1
+		}
+		bs := &buffers{limit: limit}
+		b, err := bs.read(iotest.HalfReader(bytes.NewReader(want)), known)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&got, "%d %d %s -> %d streamed=%v reserved=%d\n", limit, length, declared, len(b.buffered), b.rest != nil, bs.used.Load())
+		var whole bytes.Buffer
+		if err := b.writeTo(&whole); err != nil || !bytes.Equal(want, whole.Bytes()) {
+			t.Errorf("%sthe body is changed, error %v", line, err)
+		}
+		b.free()
+		b.free()
+		if n := bs.used.Load(); n != 0 {
+			t.Errorf("%s%d bytes are reserved at the end", line, n)
+		}
+	}
+	if diff := cmp.Diff(string(data), got.String()); diff != "" {
+		t.Errorf("mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -150,7 +150,7 @@
 }
 
 // Config holds the settings and components of a relay. All are required, except
-// that MaxInProgress may be 0.
+// that the bounds may be 0.
 type Config struct {
 	Headers       Headers
 	Node          string
@@ -177,6 +177,10 @@
 	// MaxInProgress bounds the requests in progress at entry and guard
 	// together, because each takes memory; 0 means no bound.
 	MaxInProgress int64
+	// MaxBufferedBytes bounds the memory for long bodies, in bytes; 0 means no
+	// bound. What exceeds it is streamed: a request is then sent at most once, and a
+	// response is passed on before it is complete.
+	MaxBufferedBytes int64
 }
 
 const (
@@ -190,16 +194,13 @@
 	// maxGuards is the maximum number of guards that a request is sent to
 	// before it is refused. Each refusal takes a round trip.
 	maxGuards = 4
-	// maxBufferedBytes bounds the part of a body that is buffered in memory.
-	// Shorter bodies are buffered whole, so that they can be sent again; the
-	// rest of longer ones is streamed.
-	maxBufferedBytes = 1 << 20
 )
 
 // Handlers holds the HTTP handlers of a node. It is safe for concurrent use.
 type Handlers struct {
 	cfg        Config
 	running    *registry
+	buffers    buffers
 	followMu   sync.Mutex // Held while the guard follows advice of its target.
 	advised    adviceTable
 	inProgress atomic.Int64 // Requests in progress at entry and guard.
@@ -233,6 +234,7 @@
 // New returns the handlers of a node with the given configuration.
 func New(cfg Config) *Handlers {
 	h := &Handlers{cfg: cfg, running: newRegistry()}
+	h.buffers.limit = cfg.MaxBufferedBytes
 	h.abandoned, h.abandon = context.WithCancel(context.Background())
 	return h
 }
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -24,7 +24,10 @@
 	id := r.Header.Get(h.cfg.Headers.Attempt)
 	ctx := r.Context()
 	res, c := h.forward(ctx, r, start)
-	defer res.close()
+	defer res.discard()
+	if c != nil {
+		defer c.body.free()
+	}
 	h.cfg.Metrics.AddTo(dogmetric.Requests, res.outcome.String(), 1)
 	if res.reason != dogwoodford.ReasonNone {
 		h.cfg.Metrics.AddTo(dogmetric.Refusals, string(res.reason), 1)
@@ -82,7 +85,10 @@
 	if maxBytes := table.Limits().BodyBytes; maxBytes > 0 && r.ContentLength > maxBytes {
 		return refused(dogwoodford.ReasonTooLarge, 0), nil
 	}
-	b, err := readBody(r.Body, r.ContentLength)
+	b, err := h.buffers.read(r.Body, r.ContentLength)
+	if err != nil && ctx.Err() != nil {
+		return refused(dogwoodford.ReasonCancelled, 0), nil // The caller is gone.
+	}
 	if err != nil {
 		return refused(dogwoodford.ReasonBadRequest, 0), nil
 	}
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -165,6 +165,8 @@
 		return endless(c, "", strings.Repeat("x", 1000))
 	case "endless-body":
 		return endless(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\n\r\n", strings.Repeat("x", 1000))
+	case "endless-sealed":
+		return endless(c, "HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Attempt: "+id+"\r\n\r\n", strings.Repeat("x", 10000))
 	case "truncate":
 		head("200 OK", id, seal+"Content-Length: 9\r\n\r\nbody")
 		return false
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -54,7 +54,7 @@
 const fullRetryAfter = time.Second
 
 func (h *Handlers) reply(w http.ResponseWriter, res *result) {
-	defer res.close()
+	defer res.discard()
 	if res.outcome == dogwoodford.OutcomeRan {
 		h.advised.of(h.cfg.Node).format(w.Header())
 	}
@@ -191,7 +191,7 @@
 		h.cfg.Local.MarkFailed(t.ID)
 		notRun = true
 	}
-	b, err := readBody(resp.Body, resp.ContentLength)
+	b, err := h.buffers.read(resp.Body, resp.ContentLength)
 	if err != nil {
 		_ = resp.Body.Close()
 		if notRun {
@@ -201,10 +201,12 @@
 	}
 	h.cfg.Local.RecordAnswer(t.ID)
 	if notRun && resp.StatusCode != http.StatusBadRequest {
+		b.free()
 		_ = resp.Body.Close()
 		return &result{outcome: dogwoodford.OutcomeNotRun, reason: dogwoodford.ReasonTargetShed, mayHaveArrived: true}
 	}
 	if resp.StatusCode/100 == 2 && resp.Header.Get(hd.Seal) == "" {
+		b.free()
 		_ = resp.Body.Close()
 		return h.badAnswer(ctx, c, "response without seal")
 	}
--- a/io/request/dogrelay/hedge.go
+++ b/io/request/dogrelay/hedge.go
@@ -47,7 +47,7 @@
 		cancelHedge()
 		go func() {
 			if res := <-hedged; res != nil {
-				res.close()
+				res.discard()
 			}
 		}()
 		return first
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// discard closes r and frees its body.
+func (r *result) discard() {
+	r.close()
+	r.body.free()
+}
+
 // onClose makes close call f, after the functions that were added before.
 func (r *result) onClose(f func()) {
 	previous := r.release
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -72,10 +72,10 @@
 		return next
 	}
 	if next.outcome == dogwoodford.OutcomeNotRun && last.outcome != dogwoodford.OutcomeNotRun {
-		next.close()
+		next.discard()
 		return last
 	}
-	last.close()
+	last.discard()
 	return next
 }
 
@@ -203,7 +203,7 @@
 		res.mayHaveArrived = res.outcome == dogwoodford.OutcomeUnknown || res.reason == dogwoodford.ReasonTargetShed
 		return res
 	}
-	b, err := readBody(resp.Body, resp.ContentLength)
+	b, err := h.buffers.read(resp.Body, resp.ContentLength)
 	if err != nil {
 		_ = resp.Body.Close()
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
