dogpipeline: do not read beside a body that outlives its handler

Cause: when a handler returned before the body of its request was read, as when a target answers an upload early, the server looked for the next request while another goroutine could still read the body from the same buffer.

Change: a connection whose body was not read to its end closes, so that nothing is read behind it.

--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -70,10 +70,18 @@
 
 // markChecked ends awaitCheck if the body has been read to its end.
 func (b *requestBody) markChecked() {
+	if b.isEnded() {
+		b.once.Do(func() { close(b.checked) })
+	}
+}
+
+// isEnded reports whether the body has been read to its end or has failed.
+func (b *requestBody) isEnded() bool {
 	select {
 	case <-b.ended:
-		b.once.Do(func() { close(b.checked) })
+		return true
 	default:
+		return false
 	}
 }
 
--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -227,6 +227,9 @@
 		select {
 		case <-resp.body.ended:
 		case <-resp.done:
+			if !resp.body.isEnded() {
+				return false // The connection ends, and another goroutine may still read the body from it.
+			}
 		}
 	}
 	return c.awaitBarrier(resp)
--- a/io/connection/dogpipeline/departure_test.go
+++ b/io/connection/dogpipeline/departure_test.go
@@ -71,3 +71,45 @@
 		t.Errorf("%d of %d requests seen; those that ran for nobody (-want +got):\n%s", d.seen, clients, diff)
 	}
 }
+
+// TestBodyOutlivesHandler guards against a server that reads its connection while another
+// goroutine still reads the body of a request whose handler has returned, as when a target
+// answers an upload early. The race detector reports it.
+func TestBodyOutlivesHandler(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var readers sync.WaitGroup
+	srv := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started := make(chan struct{})
+		readers.Go(func() {
+			close(started)
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		<-started
+		w.WriteHeader(http.StatusForbidden)
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	var clients sync.WaitGroup
+	for range 20 {
+		clients.Go(func() { uploadSlowly(t, ln.Addr().String()) })
+	}
+	clients.Wait()
+	readers.Wait()
+}
+
+// uploadSlowly sends a long body in small pieces until the server closes the connection.
+func uploadSlowly(t *testing.T, addr string) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 4<<20)
+	for piece := make([]byte, 1000); err == nil; time.Sleep(time.Millisecond) {
+		_, err = c.Write(piece)
+	}
+}
