doglag: measure the waits of goroutines, not only of timers

The runtime lets a goroutine whose timer fires go before all others that are ready, so that the monitor saw nothing of their queue.

Change: each measurement takes the longest wait from the runtime's histogram of scheduling latencies as well. TestServe no longer demands a lag of 0, as other goroutines of the test's process may wait; TestSchedulerWait demands a small one after they have run.

--- a/io/process/doglag/doc.go
+++ b/io/process/doglag/doc.go
@@ -3,7 +3,7 @@
 // A process that has less processor time than it needs reads requests late, and cannot
 // see from the requests themselves how long they have waited. A Monitor sets a timer
 // again and again and compares the time at which it runs with the time for which it was
-// set: other goroutines that became ready at that time waited as long.
+// set. Besides, it asks the runtime how long goroutines waited for a processor.
 //
 // # Usage
 //
--- a/io/process/doglag/monitor.go
+++ b/io/process/doglag/monitor.go
@@ -16,7 +16,8 @@
 // Monitor measures the lag of its process. It implements suture.Service. Its methods
 // are safe for concurrent use.
 type Monitor struct {
-	measured func(lag time.Duration) // Called with each measurement.
+	measured  func(lag time.Duration) // Called with each measurement.
+	scheduler *scheduler              // Used by Serve only.
 
 	mu     sync.Mutex
 	due    time.Time // When the measurement in progress should end; zero before the first.
@@ -26,12 +27,15 @@
 
 // New returns a monitor that calls measured, which must not block, after each
 // measurement.
-func New(measured func(lag time.Duration)) *Monitor { return &Monitor{measured: measured} }
+func New(measured func(lag time.Duration)) *Monitor {
+	return &Monitor{measured: measured, scheduler: newScheduler()}
+}
 
 // Serve measures until ctx ends.
 func (m *Monitor) Serve(ctx context.Context) error {
 	t := time.NewTimer(interval)
 	defer t.Stop()
+	m.scheduler.longestWait() // Leaves out the start of the process.
 	for {
 		m.setDue(time.Now().Add(interval))
 		select {
@@ -39,7 +43,7 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		m.measured(m.record(time.Now()))
+		m.measured(m.record(time.Now(), m.scheduler.longestWait()))
 		t.Reset(interval)
 	}
 }
@@ -53,11 +57,12 @@
 	m.due = due
 }
 
-// record ends a measurement and returns it.
-func (m *Monitor) record(now time.Time) time.Duration {
+// record ends a measurement, in which a goroutine waited at most wait for a processor,
+// and returns it.
+func (m *Monitor) record(now time.Time, wait time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lag := max(0, now.Sub(m.due))
+	lag := max(now.Sub(m.due), wait)
 	m.recent[m.next] = lag
 	m.next = (m.next + 1) % windows
 	return lag
