dogtable: nodes start the round of a split at different points

What callers saw: nothing yet that is known; operators can see a part of a split route that gets none of its requests after a change (CONFIG, shares).

Cause: each configuration starts the weighted round robin of all nodes at the same point, with the backend of the greatest weight. In a large fleet each node gets few requests between two changes, so that all make the same choices.

Evidence: TestSplitOfFleet, 590 nodes and weights 7 to 3: the share of the second is 0.00 after one request at each node, 0.50 after two, 0.20 after five.

Change: a route starts at a random point of its round. Result: within 0.05 of 0.3 in each case; a single node keeps its shares as before (TestSplit).

--- a/core/version/dogtable/table_test.go
+++ b/core/version/dogtable/table_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -113,7 +115,7 @@
 		t.Fatal(err)
 	}
 	r, _ := table.Lookup("h", "/a/b")
-	s := NewSplit()
+	s := NewSplit(rand.New(rand.NewPCG(1, 2)))
 	for window := range 20 {
 		n := 0
 		for range 10 {
@@ -127,6 +129,31 @@
 	}
 }
 
+// TestSplitOfFleet guards against a fleet whose nodes all send the first requests after a
+// change of the configuration to the same backend.
+func TestSplitOfFleet(t *testing.T) {
+	table, err := New(spec(1, route("a", "h", "/a/", Backend{"orders", 7}, Backend{"stock", 3})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _ := table.Lookup("h", "/a/b")
+	const nodes = 590
+	for _, requests := range []int{1, 2, 5} {
+		n := 0
+		for node := range nodes {
+			s := NewSplit(rand.New(rand.NewPCG(1, uint64(node))))
+			for range requests {
+				if s.Choose(r) == "stock" {
+					n++
+				}
+			}
+		}
+		if share := float64(n) / float64(nodes*requests); math.Abs(share-0.3) > 0.05 {
+			t.Errorf("%d requests at each node: share %.2f of the backend of weight 0.3", requests, share)
+		}
+	}
+}
+
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{10, 400} {
 		var routes []RouteSpec
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -122,7 +122,7 @@
 	}
 	n.lag = n.newLagMonitor()
 	tables := new(dogtable.Holder)
-	split := dogtable.NewSplit()
+	split := dogtable.NewSplit(newRand())
 	n.state = newState(settings, n.log, tables.Version)
 	n.configs = &configs{dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split}
 	liveness := dogconn.Liveness{UnacknowledgedTimeout: unacknowledgedTimeout, ProbeInterval: unacknowledgedTimeout}
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -265,7 +265,7 @@
 func TestConfigs(t *testing.T) {
 	log := newLogger(io.Discard, "rounds-1")
 	defer log.close()
-	c := &configs{dialect: plainDialect{}, log: log, metrics: dogmetric.NewSet(), tables: new(dogtable.Holder), split: dogtable.NewSplit()}
+	c := &configs{dialect: plainDialect{}, log: log, metrics: dogmetric.NewSet(), tables: new(dogtable.Holder), split: dogtable.NewSplit(newRand())}
 	var got []int64
 	for _, value := range []string{"3", "x", "2", "0", "7", "5"} {
 		c.offer([]byte(value), "store")
@@ -291,7 +291,7 @@
 	var out bytes.Buffer
 	log := newLogger(&out, "rounds-1")
 	c := &configs{
-		dialect: partlyReadDialect{}, log: log, metrics: dogmetric.NewSet(), tables: new(dogtable.Holder), split: dogtable.NewSplit(),
+		dialect: partlyReadDialect{}, log: log, metrics: dogmetric.NewSet(), tables: new(dogtable.Holder), split: dogtable.NewSplit(newRand()),
 	}
 	c.offer([]byte("2"), "store")
 	log.close()
