dogrelay: count the time for which requests wait to be read

What callers saw: no answer half a second after the timeout of the route (CONFIG), from nodes that lacked processor time.

Cause: a deadline is a span, and entry and guard began it when they read the request, however long it had waited for that. The answer at the timeout waited as long again.

Change: while the longest wait of a goroutine is 100 ms or more, entry and guard begin the span that much earlier, and an entry answers that much sooner. An entry that could not answer in time refuses at once as not run. Child calls are not refused, as work was done for them.

--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -18,12 +18,13 @@
 func (h *Handlers) Entry() http.Handler { return http.HandlerFunc(h.serveEntry) }
 
 func (h *Handlers) serveEntry(w http.ResponseWriter, r *http.Request) {
-	start := dogpipeline.Arrival(r.Context())
+	lag := h.lag()
+	start := dogpipeline.Arrival(r.Context()).Add(-lag)
 	h.acquire()
 	defer h.release()
 	id := r.Header.Get(h.cfg.Headers.Attempt)
 	ctx := r.Context()
-	res, c := h.forward(ctx, r, start)
+	res, c := h.forward(ctx, r, start, lag)
 	defer res.discard()
 	if c != nil {
 		defer c.body.free()
@@ -54,9 +55,10 @@
 	h.cfg.Log.Event(ctx, doglog.RequestFailed, attrs...)
 }
 
-// forward finds the route of a request and sends it. The call is nil if the
-// request was refused before its service was known.
-func (h *Handlers) forward(ctx context.Context, r *http.Request, start time.Time) (*result, *call) {
+// forward finds the route of a request, which its caller sent at start, and sends it. The
+// answer of a node that lags takes about lag to be written. The call is nil if the request
+// was refused before its service was known.
+func (h *Handlers) forward(ctx context.Context, r *http.Request, start time.Time, lag time.Duration) (*result, *call) {
 	parent := h.running.parent(r.Header.Get(h.cfg.Headers.Attempt))
 	if parent == nil && h.cfg.Local.Leaving() {
 		return refused(dogwoodford.ReasonDraining, drainingRetryAfter), nil
@@ -76,6 +78,9 @@
 		return refused(dogwoodford.ReasonNoConfig, unreadableRetryAfter), nil
 	}
 	timeout := h.timeout(route, r)
+	if parent == nil && lag > 0 && time.Until(start.Add(timeout-lag)) < minTimeLeft {
+		return refused(dogwoodford.ReasonOverload, fullRetryAfter), nil
+	}
 	if parent != nil && !h.cfg.Local.AcceptsCall(timeout) {
 		return refused(dogwoodford.ReasonDraining, drainingRetryAfter), nil
 	}
@@ -105,7 +110,7 @@
 		}
 		h.cfg.Log.Event(ctx, doglog.QuarantineTested, idAttr(c.id), serviceAttr(c.service))
 	}
-	ctx, cancel := h.withDeadline(ctx, c.deadline.Add(answerGrace))
+	ctx, cancel := h.withDeadline(ctx, c.deadline.Add(answerGrace-lag))
 	res := h.admitAndSend(ctx, c, route, parent)
 	if res.completed() {
 		h.cfg.Crashes.RecordCompletion(c.content)
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -251,6 +251,7 @@
 	refuseTrees    bool
 	treeRequests   []dogtree.Request // Passed to MayStart.
 	leaving        bool
+	lag            time.Duration // How late the process is with its work.
 	callTime       time.Duration // Time that child calls may last at most while leaving.
 	inducedRetries int
 	failedTargets  []string
@@ -460,7 +461,7 @@
 		Pressure: n, Trees: n, Gate: doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 4, Rand: rnd})),
 		Router: doggate.NewBalancer(inOrder{}), Peers: dogconn.NewPeer(dogconn.Options{}),
 		Target: dogconn.NewTarget(dogconn.Options{}), Log: n, Metrics: dogmetric.NewSet(),
-		Lag: func() time.Duration { return 0 },
+		Lag: func() time.Duration { return n.lag },
 	})
 	n.entry, n.guard = httptest.NewServer(n.relay.Entry()), httptest.NewServer(n.relay.Guard())
 	t.Cleanup(n.entry.Close)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -17,7 +17,7 @@
 func (h *Handlers) Guard() http.Handler { return http.HandlerFunc(h.serveGuard) }
 
 func (h *Handlers) serveGuard(w http.ResponseWriter, r *http.Request) {
-	c, err := h.parseCall(r, time.Now())
+	c, err := h.parseCall(r, time.Now().Add(-h.lag()))
 	if err != nil {
 		h.cfg.Log.Event(r.Context(), doglog.PeerCallRejected, doglog.Err(err))
 		h.reply(w, refused(dogwoodford.ReasonBadRequest, 0))
