--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -60,29 +60,13 @@
 // was refused before its service was known.
 func (h *Handlers) forward(ctx context.Context, r *http.Request, start time.Time, lag time.Duration) (*result, *call) {
 	parent := h.running.parent(r.Header.Get(h.cfg.Headers.Attempt))
-	if parent == nil && h.cfg.Local.Leaving() {
-		return refused(dogwoodford.ReasonDraining, drainingRetryAfter), nil
-	}
-	if parent == nil && h.cfg.MaxInProgress > 0 && h.inProgress.Load() > h.cfg.MaxInProgress {
-		return refused(dogwoodford.ReasonOverload, fullRetryAfter), nil
-	}
-	table := h.cfg.Tables.Table()
-	if table == nil {
-		return refused(dogwoodford.ReasonNoConfig, noConfigRetryAfter), nil
-	}
-	route, ok := table.Lookup(r.Host, r.URL.EscapedPath())
-	if !ok {
-		return refused(dogwoodford.ReasonNoRoute, 0), nil
-	}
-	if route.Unreadable() {
-		return refused(dogwoodford.ReasonNoConfig, unreadableRetryAfter), nil
+	table, route, refusal := h.findRoute(r, parent)
+	if refusal != nil {
+		return refusal, nil
 	}
 	timeout := h.timeout(route, r)
-	if parent == nil && lag > 0 && time.Until(start.Add(timeout-lag)) < minTimeLeft {
-		return refused(dogwoodford.ReasonOverload, fullRetryAfter), nil
-	}
-	if parent != nil && !h.cfg.Local.AcceptsCall(timeout) {
-		return refused(dogwoodford.ReasonDraining, drainingRetryAfter), nil
+	if refusal := h.refuseByTime(parent, start, timeout, lag); refusal != nil {
+		return refusal, nil
 	}
 	if !route.Kind().Repeatable() && dogpipeline.AwaitTurn(ctx) != nil {
 		return refused(dogwoodford.ReasonCancelled, 0), nil // The caller is gone.
@@ -119,6 +103,44 @@
 	return res, c
 }
 
+// findRoute returns the route of a request, or a refusal if the node does not take the
+// request or has no usable route for it. parent is nil for a request of a caller.
+func (h *Handlers) findRoute(r *http.Request, parent *run) (*dogtable.Table, *dogtable.Route, *result) {
+	if parent == nil && h.cfg.Local.Leaving() {
+		return nil, nil, refused(dogwoodford.ReasonDraining, drainingRetryAfter)
+	}
+	if parent == nil && h.cfg.MaxInProgress > 0 && h.inProgress.Load() > h.cfg.MaxInProgress {
+		return nil, nil, refused(dogwoodford.ReasonOverload, fullRetryAfter)
+	}
+	table := h.cfg.Tables.Table()
+	if table == nil {
+		return nil, nil, refused(dogwoodford.ReasonNoConfig, noConfigRetryAfter)
+	}
+	route, ok := table.Lookup(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return nil, nil, refused(dogwoodford.ReasonNoRoute, 0)
+	}
+	if route.Unreadable() {
+		return nil, nil, refused(dogwoodford.ReasonNoConfig, unreadableRetryAfter)
+	}
+	return table, route, nil
+}
+
+// refuseByTime returns a refusal if the node cannot answer a request in time, or nil. A
+// child call is refused only if the node stops before, as work was done for it.
+func (h *Handlers) refuseByTime(parent *run, start time.Time, timeout, lag time.Duration) *result {
+	if parent != nil {
+		if !h.cfg.Local.AcceptsCall(timeout) {
+			return refused(dogwoodford.ReasonDraining, drainingRetryAfter)
+		}
+		return nil
+	}
+	if lag > 0 && time.Until(start.Add(timeout-lag)) < minTimeLeft {
+		return refused(dogwoodford.ReasonOverload, fullRetryAfter)
+	}
+	return nil
+}
+
 // lineageOf returns the lineage of a child call of parent, or of a request of a
 // caller if parent is nil.
 func lineageOf(c *call, route *dogtable.Route, parent *run) lineage {
