dogrelay: a queued call ends when its entry leaves, also behind a body

What callers saw: requests with a body reached targets after their callers had left (GONE).

Cause: the guard read the body of a call only while it wrote it to its target. Until then the end of the connection lay behind the body, so that a queued call could not see it; and the head of the request was at the target before the body was read.

Evidence: TestQueuedCallerLeft, one call that runs and three queued ones whose entries leave: all four reach the target, with bodies of 4 and of 60,000 bytes.

Change: the guard reads the body before it queues the call, within the bound of buffers; a longer one is streamed as before. The target of TestGuardCallerLeft counts heads now, which is stricter, and still sees none.

--- a/io/process/dogsidecar/caller_left_test.go
+++ b/io/process/dogsidecar/caller_left_test.go
@@ -47,12 +47,12 @@
 				if err != nil {
 					return
 				}
-				if _, err := io.Copy(io.Discard, req.Body); err != nil {
-					return
-				}
 				r.mu.Lock()
 				r.runs[req.Method]++
 				r.mu.Unlock()
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return
+				}
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Attempt: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Attempt"))
 			}
 		}()
--- a/io/request/dogrelay/body.go
+++ b/io/request/dogrelay/body.go
@@ -18,14 +18,6 @@
 	reserved     int64     // Bytes reserved in buffers.
 }
 
-// streamBody returns a body of which nothing is buffered.
-func streamBody(src io.Reader, length int64) *body {
-	if src == nil || src == http.NoBody || length == 0 {
-		return &body{}
-	}
-	return &body{rest: src, length: length}
-}
-
 // replayable reports whether the body can still be sent whole.
 func (b *body) replayable() bool { return b.rest == nil || !b.restAttached }
 
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
+	begun    int // Requests whose head was read.
 }
 
 func newFakeTarget(t testing.TB, script string) *fakeTarget {
@@ -102,6 +103,9 @@
 		if err != nil {
 			return
 		}
+		f.mu.Lock()
+		f.begun++
+		f.mu.Unlock()
 		data, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -33,7 +33,13 @@
 	} else {
 		h.cfg.Log.Event(r.Context(), doglog.PeerCallRejected, doglog.Err(err))
 	}
-	c.body = streamBody(r.Body, r.ContentLength)
+	// The body is read before the call is queued: behind it, the server sees whether
+	// the entry leaves.
+	if c.body, err = h.buffers.read(r.Body, r.ContentLength); err != nil {
+		h.reply(w, refused(dogwoodford.ReasonCancelled, 0))
+		return
+	}
+	defer c.body.free()
 	h.reply(w, h.guardCall(r.Context(), c))
 }
 
