--- a/io/connection/dogpipeline/doc.go
+++ b/io/connection/dogpipeline/doc.go
@@ -5,7 +5,9 @@
 // request waits until the responses to all earlier requests have been written, and
 // holds up those behind it. Responses are written in the order of the requests. The
 // server notices that a client has closed its connection while its requests run,
-// and cancels their contexts.
+// and cancels their contexts. It also looks for that before it calls a handler, and
+// before a body ends for its handler: a process that lacks processor time may read a
+// request long after its client has left.
 //
 // A response that closes the connection is the last one: the server reads no
 // request behind it. Clients may therefore send what they had sent behind it again.
