test/processes: free ports are found while no process is started

Cause: a port is found by opening and closing a listener. A process that another test starts at that moment inherits the listener until it executes its program, so that the port stays in use for a moment.

Change: the listener is opened and closed under the lock that starts of processes take.

--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -76,8 +76,7 @@
 			nextPort = 11000
 		}
 		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
+		if isFree(addr) {
 			return addr
 		}
 	}
@@ -85,6 +84,20 @@
 	return ""
 }
 
+// isFree reports whether a listener can be opened at addr. No process is started
+// meanwhile: until it executes its program it would hold the listener, and addr would be
+// in use for a moment longer.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = ln.Close()
+	return true
+}
+
 // process is a process started by a test.
 type process struct {
 	name     string
