Tests: a source of random numbers of its own for each user

The test nodes of dogrelay passed one source to the admission and to the split, which may not share it: NewSplit says that its caller must not use it afterwards, and the two hold different locks. No test draws from the split yet, as all routes have one backend. A comment in dogsidecar's test names no constant that is gone. No assertion changes; vet, the linters and both packages' tests with the race detector pass.

--- a/io/process/dogsidecar/caller_left_test.go
+++ b/io/process/dogsidecar/caller_left_test.go
@@ -59,8 +59,7 @@
 	}
 }
 
-// guardAddresses are the addresses of the node of TestGuardCallerLeft, which no other
-// test uses.
+// Addresses of the node of TestGuardCallerLeft, which no other test uses.
 const (
 	guardInbound  = "127.77.1.1:7302"
 	guardOutbound = "127.77.1.1:7301"
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -461,7 +461,7 @@
 	rnd := rand.New(rand.NewPCG(1, 2))
 	n.relay = New(Config{
 		Headers: testHeaders, Node: name, Service: service, DataCentre: "dc", Peer: "127.0.0.1:1",
-		TargetAddress: n.target.addr, Tables: &tables, Split: dogtable.NewSplit(rnd), Fleet: n, Local: n, Budget: n, Crashes: n,
+		TargetAddress: n.target.addr, Tables: &tables, Split: dogtable.NewSplit(rand.New(rand.NewPCG(3, 4))), Fleet: n, Local: n, Budget: n, Crashes: n,
 		Pressure: n, Trees: n, Gate: doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 4, Rand: rnd})),
 		Router: doggate.NewBalancer(inOrder{}), Peers: dogconn.NewPeer(dogconn.Options{}),
 		Target: dogconn.NewTarget(dogconn.Options{}), Log: n, Metrics: dogmetric.NewSet(),
