Tests: endless bodies begin once all requests are at the target

Cause: on a slow machine, the first bodies of TestEndlessBodies, which have no end, took the processor time in which the later requests were to be dialled; a dial has 500 ms. 41 of 150 requests reached the target there, where 75 were wanted.

Change: the target holds its bodies back until all 150 requests are there, which is now the bound, and the test waits until the buffers are half full before it takes its samples. The bounds of memory are the same.

--- a/io/request/dogrelay/buffers_test.go
+++ b/io/request/dogrelay/buffers_test.go
@@ -24,7 +24,7 @@
 func TestEndlessBodies(t *testing.T) {
 	const (
 		requests    = 150
-		timeout     = 3 * time.Second
+		timeout     = 30 * time.Second // The test closes the connections long before.
 		bufferBytes = 8 << 20
 		// maxHeapBytes is what both nodes and the target, which share this process, may
 		// take: the bounds of both nodes for buffers, and what a node sets aside for a
@@ -34,6 +34,7 @@
 	entry := newTestNode(t, "entry", "billing", "refuse", timeout)
 	guard := newTestNode(t, "guard", "rounds", "endless-sealed", timeout)
 	guard.relay.cfg.Gate = doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 2 * requests, Rand: rand.New(rand.NewPCG(1, 2))}))
+	guard.target.hold = make(chan struct{})
 	entry.relay.buffers.limit, guard.relay.buffers.limit = bufferBytes, bufferBytes
 	entry.addGuards(guard)
 	before := liveBytes()
@@ -45,33 +46,46 @@
 		}
 		callers = append(callers, c)
 		fmt.Fprintf(c, "GET /download/x HTTP/1.1\r\nHost: h\r\n%s: a%d\r\n\r\n", testHeaders.Attempt, i)
+		eventually(timeout/2, func() bool { return guard.target.count() > i })
+	}
+	if n := guard.target.count(); n < requests {
+		t.Errorf("%d requests reached the target, want %d", n, requests)
+	}
+	close(guard.target.hold)
+	buffered := func() int64 { return entry.relay.buffers.used.Load() + guard.relay.buffers.used.Load() }
+	if !eventually(timeout/2, func() bool { return buffered() > bufferBytes }) {
+		t.Errorf("%d MB are buffered, want more than %d", buffered()>>20, bufferBytes>>20)
 	}
 	// Responses wait for their callers to read by then. What is allocated meanwhile only
 	// adds to a sample.
-	time.Sleep(timeout / 2)
+	time.Sleep(time.Second)
 	held := liveBytes() - before
 	for range 10 {
 		time.Sleep(50 * time.Millisecond)
 		held = min(held, liveBytes()-before)
 	}
-	if n := guard.target.count(); n < requests/2 {
-		t.Errorf("%d requests reached the target, want %d at least", n, requests/2)
-	}
 	if held > maxHeapBytes {
 		t.Errorf("%d MB are held, want at most %d", held>>20, maxHeapBytes>>20)
 	}
-	if n := entry.relay.buffers.used.Load() + guard.relay.buffers.used.Load(); n > 2*bufferBytes {
+	if n := buffered(); n > 2*bufferBytes {
 		t.Errorf("%d MB are buffered, want at most %d", n>>20, 2*bufferBytes>>20)
 	}
 	for _, c := range callers {
 		c.Close()
 	}
-	for end := time.Now().Add(timeout); time.Now().Before(end) && entry.relay.buffers.used.Load()+guard.relay.buffers.used.Load() > 0; {
-		time.Sleep(time.Millisecond)
+	if !eventually(timeout/2, func() bool { return buffered() == 0 }) {
+		t.Errorf("%d bytes are reserved after the requests have ended", buffered())
 	}
-	if n := entry.relay.buffers.used.Load() + guard.relay.buffers.used.Load(); n != 0 {
-		t.Errorf("%d bytes are reserved after the requests have ended", n)
+}
+
+// eventually reports whether f returns true within d.
+func eventually(d time.Duration, f func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if f() {
+			return true
+		}
 	}
+	return f()
 }
 
 // liveBytes returns the bytes of the heap that are in use.
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -42,6 +42,7 @@
 	addr   string
 	ln     net.Listener
 	script string
+	hold   chan struct{} // If set, endless sealed bodies begin when it is closed.
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -170,6 +171,9 @@
 	case "endless-body":
 		return endless(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\n\r\n", strings.Repeat("x", 1000))
 	case "endless-sealed":
+		if f.hold != nil {
+			<-f.hold
+		}
 		return endless(c, "HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Attempt: "+id+"\r\n\r\n", strings.Repeat("x", 10000))
 	case "truncate":
 		head("200 OK", id, seal+"Content-Length: 9\r\n\r\nbody")
