dogrelay: the rest of a long answer is read although its request must not run twice

Cause: dispatch gave such a request a context of its own and ended it when it returned; the rest of the answer is read from the target after that.

Change: the context ends with the result.

Evidence: TestDownloads now has such requests too; before, "status 200, error unexpected EOF" after 1,048,576 bytes, and after 1,580,000 in chunks.

--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -139,8 +139,7 @@
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 && !c.cleared {
 		return refused(dogwoodford.ReasonQuarantined, remaining)
 	}
-	now := time.Now()
-	if !now.Before(c.deadline) {
+	if !time.Now().Before(c.deadline) {
 		return refused(dogwoodford.ReasonDeadline, 0)
 	}
 	if !c.kind.Repeatable() {
@@ -148,10 +147,17 @@
 		// runs until the deadline, because the caller cannot repeat it.
 		var stop context.CancelFunc
 		ctx, stop = h.withDeadline(context.WithoutCancel(ctx), c.deadline.Add(answerGrace-hopGrace))
-		defer stop()
+		res := h.send(ctx, c, t)
+		res.onClose(stop) // The rest of a long response is read until then.
+		return res
 	}
+	return h.send(ctx, c, t)
+}
+
+// send sends a call to the target t.
+func (h *Handlers) send(ctx context.Context, c *call, t dogtarget.Target) *result {
 	out := c.outgoing(ctx, h.cfg.TargetAddress)
-	out.Header[h.cfg.Headers.Deadline] = []string{strconv.FormatInt(max(1, c.remainingMillis(now)), 10)}
+	out.Header[h.cfg.Headers.Deadline] = []string{strconv.FormatInt(max(1, c.remainingMillis(time.Now())), 10)}
 	out.Header[h.cfg.Headers.ExpectInstance] = []string{t.ID}
 	out.Header[h.cfg.Headers.Caller] = []string{c.caller}
 	h.cfg.Crashes.DispatchStarted(c.id, c.content)
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// get sends a download to n through a dogpipeline server and returns its body.
-func get(t *testing.T, n *testNode) (int, []byte, error) {
+// get sends a GET request of a kind to n through a dogpipeline server and returns its body.
+func get(t *testing.T, n *testNode, kind string) (int, []byte, error) {
 	t.Helper()
 	srv := &dogpipeline.Server{Handler: n.relay.Entry()}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -166,7 +166,7 @@
 	}
 	defer srv.Close()
 	go func() { _ = srv.Serve(ln) }()
-	req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+ln.Addr().String()+"/download/x", nil)
+	req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+ln.Addr().String()+"/"+kind+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,23 +181,26 @@
 	return resp.StatusCode, body, err
 }
 
-// TestDownloads guards against long responses that are changed on the way, and against
-// ones that break off after the nodes have passed on their first part and look complete
-// to the caller, or are sent again behind that part.
+// TestDownloads guards against long responses that are changed on the way, or cut because
+// their request must not run twice, and against ones that break off after the nodes have
+// passed on their first part and look complete to the caller, or are sent again behind that
+// part.
 func TestDownloads(t *testing.T) {
 	for script, whole := range map[string]bool{"large": true, "large-chunked": true, "large-cut": false, "large-chunked-cut": false} {
-		entry := newTestNode(t, "entry", "billing", "refuse", 5*time.Second)
-		guard, other := newTestNode(t, "guard", "rounds", script, 5*time.Second), newTestNode(t, "other", "rounds", "large", 5*time.Second)
-		entry.addGuards(guard, other)
-		status, body, err := get(t, entry)
-		if status != http.StatusOK || whole != (err == nil) {
-			t.Errorf("%s: status %d, error %v", script, status, err)
-		}
-		if whole && !bytes.Equal(body, largeBody) || !bytes.HasPrefix(largeBody, body) {
-			t.Errorf("%s: %d bytes that are not those of the target", script, len(body))
-		}
-		if n := other.target.count(); n != 0 {
-			t.Errorf("%s: sent again after its first part was passed on", script)
+		for _, kind := range []string{"download", "non-idempotent"} {
+			entry := newTestNode(t, "entry", "billing", "refuse", 5*time.Second)
+			guard, other := newTestNode(t, "guard", "rounds", script, 5*time.Second), newTestNode(t, "other", "rounds", "large", 5*time.Second)
+			entry.addGuards(guard, other)
+			status, body, err := get(t, entry, kind)
+			if status != http.StatusOK || whole != (err == nil) {
+				t.Errorf("%s %s: status %d, error %v", kind, script, status, err)
+			}
+			if whole && !bytes.Equal(body, largeBody) || !bytes.HasPrefix(largeBody, body) {
+				t.Errorf("%s %s: %d bytes that are not those of the target", kind, script, len(body))
+			}
+			if n := other.target.count(); n != 0 {
+				t.Errorf("%s %s: sent again after its first part was passed on", kind, script)
+			}
 		}
 	}
 }
