dogsidecar: removals of entries are bounded, apart from probes, and not taken for done

Cause: the call had no time limit and ran in the loop that probes unreachable nodes. A node that is marked unreachable is used again only after a probe. Beside it: a removal that failed made the node forget the other one all the same; if that came back, its entry did not change, and the watch had nothing to report.

Change: removals have the time limit of all writes and a loop of their own; an entry is forgotten only if the store says that it is gone or was written since, else the removal is tried again every 5 s.

--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -40,6 +40,9 @@
 	// probeInterval is the interval at which the node checks for due probes of
 	// unreachable nodes.
 	probeInterval = 100 * time.Millisecond
+	// staleInterval is the interval at which the node tries to remove entries of nodes
+	// that stay unreachable. All nodes do so until one succeeds.
+	staleInterval = 5 * time.Second
 	// minPullInterval is the pause after a pull. It bounds how often newer
 	// configurations are requested.
 	minPullInterval = 50 * time.Millisecond
@@ -117,8 +120,7 @@
 	return data, nil
 }
 
-// probeUnreachable pings unreachable nodes until they accept requests, and
-// removes the entries of those that stay unreachable, until ctx ends.
+// probeUnreachable pings unreachable nodes until they accept requests, until ctx ends.
 func (p *peers) probeUnreachable(ctx context.Context) error {
 	for ctx.Err() == nil {
 		dogserve.Sleep(ctx, probeInterval)
@@ -133,18 +135,31 @@
 			})
 		}
 		wg.Wait()
+	}
+	return ctx.Err()
+}
+
+// removeUnreachable removes the entries of nodes that stay unreachable, until ctx ends. It
+// is a loop of its own, so that a slow store does not delay probes.
+func (p *peers) removeUnreachable(ctx context.Context) error {
+	for ctx.Err() == nil {
+		dogserve.Sleep(ctx, staleInterval)
 		p.removeStale(ctx)
 	}
 	return ctx.Err()
 }
 
+// removeStale makes one attempt to remove each entry that is stale.
 func (p *peers) removeStale(ctx context.Context) {
 	for name, version := range p.state.stale() {
-		err := p.store.Delete(ctx, targetKind, name, version)
+		writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := p.store.Delete(writeCtx, targetKind, name, version)
+		cancel()
 		p.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Int64("revision", version), doglog.Err(err))
-		// Whatever the result, the watch reports the change. Until then the
-		// node is not probed or removed again.
-		p.state.forget(name)
+		if err == nil || errors.Is(err, dogwoodford.ErrNotFound) || errors.Is(err, dogwoodford.ErrConflict) {
+			// The watch reports the change, or an entry that the node wrote since.
+			p.state.forget(name)
+		}
 	}
 }
 
--- /dev/null
+++ b/io/process/dogsidecar/peers_test.go
@@ -0,0 +1,59 @@
+package dogsidecar
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogfleet"
+)
+
+// silentStore is a store that loses the answers to the removal of objects while silent.
+type silentStore struct {
+	*fakeStore
+	silent bool
+}
+
+func (s *silentStore) Delete(ctx context.Context, _, _ string, _ int64) error {
+	if !s.silent {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("delete: %w: %w", dogwoodford.ErrUnavailable, ctx.Err())
+}
+
+// TestLostRemoval guards against a node that waits without end for the answer of the store
+// to the removal of an entry, and against one that forgets a node whose entry may still be
+// there: if that node comes back, its entry does not change.
+func TestLostRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testState(t, func() int64 { return 1 })
+		for i := range 5 {
+			s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
+		}
+		s.MarkUnreachable("depot-1", true)
+		time.Sleep(time.Minute)
+		store := &silentStore{fakeStore: newFakeStore(), silent: true}
+		p := &peers{state: s, store: store, log: s.log}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan struct{})
+		go func() { p.removeStale(ctx); close(done) }()
+		select {
+		case <-done:
+		case <-time.After(2 * writeTimeout):
+			t.Fatalf("still waiting for the store after %v", 2*writeTimeout)
+		}
+		if n := s.NodeCount(); n != 5 {
+			t.Errorf("%d nodes are known after a removal with an unknown result, want 5", n)
+		}
+		store.silent = false
+		p.removeStale(ctx)
+		if n := s.NodeCount(); n != 4 {
+			t.Errorf("%d nodes are known after a removal, want 4", n)
+		}
+	})
+}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -257,6 +257,7 @@
 	sup.Add(entries)
 	sup.Add(n.announce)
 	sup.Add(dogserve.Func("probe", n.peers.probeUnreachable))
+	sup.Add(dogserve.Func("remove", n.peers.removeUnreachable))
 	sup.Add(dogserve.Func("follow", n.peers.pullNewer))
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
