dogfleet, dogsidecar: a node is its name, not its address

Cause: the new node answered the pings to the old one, which so became reachable again after each refusal, was never stale and never removed. Four of these use up the tries of a request.

A new entry with the address of an earlier one marks that one unreachable at once, whatever the order in which they are read. Nodes of earlier builds name nothing and are treated as before.

Looked at for the same cause: connections in the pool are those to the old machine and end with it; loads, failures and advice are kept by name; a call names its service and is refused by any other.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -80,6 +80,7 @@
 	probeAt    time.Time     // Time of the next probe.
 	backoff    time.Duration // Time between the last failure and the next probe.
 	silent     bool          // No response at all. A refused connection shows that the machine runs.
+	checked    bool          // The address was compared with those of the others.
 }
 
 // New returns an empty view.
@@ -104,9 +105,29 @@
 	}
 	m.entry, m.version = e, version
 	f.targets = nil
+	f.supersede(now, m)
 	return true
 }
 
+// supersede marks the nodes unreachable whose address another node has got, by the order
+// in which the entries were written: m or those that had its address before. Only new
+// members need it, as a changed address makes one.
+func (f *Fleet) supersede(now time.Time, m *member) {
+	if m.checked || m.entry.Peer == "" {
+		return
+	}
+	m.checked = true
+	for name, other := range f.members {
+		switch {
+		case other == m || other.entry.Peer != m.entry.Peer:
+		case other.version < m.version:
+			f.MarkUnreachable(now, name, false)
+		default:
+			f.MarkUnreachable(now, m.entry.Node, false)
+		}
+	}
+}
+
 // Remove removes a node whose entry was removed from the store at the given
 // version.
 func (f *Fleet) Remove(name string, version int64) {
--- a/io/process/dogsidecar/broadcast.go
+++ b/io/process/dogsidecar/broadcast.go
@@ -37,7 +37,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if _, err := p.request(ctx, http.MethodPost, v.Entry.Peer, path, data); err != nil {
+			if _, err := p.request(ctx, http.MethodPost, v.Entry.Node, v.Entry.Peer, path, data); err != nil {
 				p.log.event(failed, slog.String("peer", v.Entry.Node), doglog.Err(err))
 			}
 		})
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -16,6 +16,7 @@
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/request/dogcall"
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogserve"
@@ -51,7 +52,15 @@
 	maxResponseBytes = 8 << 20
 )
 
-var errUnusableResponse = eris.New("unusable response from node")
+var (
+	errUnusableResponse = eris.New("unusable response from node")
+	// errOtherNode means that the address of a node is that of another one now.
+	errOtherNode = eris.New("response from another node")
+)
+
+// headerNode names the node that answers a control request. Nodes of earlier builds do
+// not send it.
+const headerNode = dogcall.Prefix + "Node"
 
 // versionedEntry is an entry with its version in the store, as nodes send it to
 // each other.
@@ -70,12 +79,16 @@
 }
 
 // isAlive reports whether a node answers a ping in any way, including with an
-// error or a reset. It tries twice, because one packet may be lost.
+// error or a reset. It tries twice, because one packet may be lost. It does not if
+// another node answers at its address.
 func (p *peers) isAlive(e dogfleet.Entry) bool {
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-		_, err := p.get(ctx, e.Peer, pingPath)
+		err := p.ping(ctx, e)
 		cancel()
+		if errors.Is(err, errOtherNode) {
+			return false
+		}
 		if err == nil || !noResponse(err) {
 			return true
 		}
@@ -83,22 +96,30 @@
 	return false
 }
 
+// ping returns nil if a node accepts requests. The error is errOtherNode if another node
+// answers, and errUnusableResponse if the node does not accept requests.
+func (p *peers) ping(ctx context.Context, e dogfleet.Entry) error {
+	_, err := p.request(ctx, http.MethodGet, e.Node, e.Peer, pingPath, nil)
+	return err
+}
+
 // noResponse reports whether a failed request got no response of any kind, not
 // even a refused or reset connection.
 func noResponse(err error) bool {
-	return !errors.Is(err, errUnusableResponse) && !dogconn.HostResponded(err)
+	return !errors.Is(err, errUnusableResponse) && !errors.Is(err, errOtherNode) && !dogconn.HostResponded(err)
 }
 
-// get returns the body of the response of the node at addr. A status other than
-// 200 is an errUnusableResponse.
+// get returns the body of the response of the node at addr, whichever it is. A status
+// other than 200 is an errUnusableResponse.
 func (p *peers) get(ctx context.Context, addr, path string) ([]byte, error) {
-	return p.request(ctx, http.MethodGet, addr, path, nil)
+	return p.request(ctx, http.MethodGet, "", addr, path, nil)
 }
 
 // request sends a request with a body, which may be nil, to the node at addr and
-// returns the body of the response. A status other than 200 is an
+// returns the body of the response. If another node than the named one answers, the error
+// is errOtherNode; no name stands for any. A status other than 200 is an
 // errUnusableResponse.
-func (p *peers) request(ctx context.Context, method, addr, path string, body []byte) ([]byte, error) {
+func (p *peers) request(ctx context.Context, method, node, addr, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
@@ -110,6 +131,9 @@
 		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was read or is not needed.
+	if name := resp.Header.Get(headerNode); node != "" && name != "" && name != node {
+		return nil, fmt.Errorf("%s %s of %s: answered by %s: %w", method, path, node, name, errOtherNode)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s %s of %s: status %d: %w", method, path, addr, resp.StatusCode, errUnusableResponse)
 	}
@@ -127,7 +151,7 @@
 		var wg sync.WaitGroup
 		for _, e := range p.state.probes() {
 			wg.Go(func() {
-				if _, err := p.get(ctx, e.Peer, pingPath); err != nil {
+				if err := p.ping(ctx, e); err != nil {
 					p.state.MarkUnreachable(e.Node, noResponse(err))
 					return
 				}
@@ -217,5 +241,8 @@
 			p.log.event(doglog.ConfigPullFailed, doglog.Err(err))
 		}
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerNode, p.state.settings.Node)
+		mux.ServeHTTP(w, r)
+	})
 }
--- a/io/process/dogsidecar/peers_test.go
+++ b/io/process/dogsidecar/peers_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"dogwoodford"
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/io/connection/dogconn"
 )
 
 // silentStore is a store that loses the answers to the removal of objects while silent.
@@ -57,3 +60,37 @@
 		}
 	})
 }
+
+// TestReusedAddress guards against a node that is used without end although it is gone,
+// because another one answers pings at its address.
+func TestReusedAddress(t *testing.T) {
+	other := testState(t, func() int64 { return 1 })
+	other.settings.Node = "depot-9"
+	other.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
+	receiver := httptest.NewServer((&peers{state: other, configs: &configs{}, log: other.log}).handler())
+	defer receiver.Close()
+	s := testState(t, func() int64 { return 1 })
+	p := &peers{state: s, transport: dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second}), log: s.log}
+	addr := receiver.Listener.Addr().String()
+	for i, node := range []string{"depot-1", "depot-9"} {
+		e := dogfleet.Entry{Node: node, Service: "depot", Peer: addr, State: dogwoodford.StateReady}
+		s.put(e, int64(i+1))
+		if got, want := p.isAlive(e), node == "depot-9"; got != want {
+			t.Errorf("%s is alive: %v, want %v", node, got, want)
+		}
+		s.MarkUnreachable(node, false)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- p.probeUnreachable(ctx) }()
+	time.Sleep(time.Second)
+	cancel()
+	<-done
+	var got []string
+	for _, target := range s.Targets() {
+		got = append(got, target.Node)
+	}
+	if len(got) != 1 || got[0] != "depot-9" {
+		t.Errorf("nodes in use %v, want depot-9 alone", got)
+	}
+}
