dogconn: a peer that does not read on is not a silent one

Cause: the kernel applies TCP_USER_TIMEOUT, 1 s on connections to nodes and targets, also to a peer that acknowledges everything but whose window is closed. A call with more than the socket buffers hold then loses its connection.

Change: while a call with a body over 4 KiB lasts longer than half of that time, dogconn judges the connection itself, by what the kernel tells of it (TCP_INFO), and turns the kernel's timeout off: silent is a peer that acknowledges no bytes for 1 s although its window is open, or answers no probe of its closed window. The request's deadline ends the rest. Where TCP_INFO tells nothing, the kernel's timeout stays. Such a connection is not used again.

Evidence: TestPausedReader; before, "read response: unexpected EOF".

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -93,6 +93,7 @@
 	pconn        *pconn
 	writesBefore uint64 // Number of writes on the connection before the call.
 	stopDeadline func() bool
+	watcher      *watcher   // Nil if none is needed.
 	writeDone    chan error // Receives the result of a write that runs concurrently with the read; nil if none does.
 	keepAlive    bool       // The server keeps the connection open.
 	released     bool
@@ -126,6 +127,7 @@
 		return x.writeAndFlush(req)
 	}
 	x.writeDone = make(chan error, 1)
+	x.watcher = x.pool.liveness.watch(x.pconn.conn.Conn)
 	go func() {
 		err := x.writeAndFlush(req)
 		if err != nil {
@@ -179,7 +181,8 @@
 		return
 	}
 	x.released = true
-	reusable = x.stopDeadline() && reusable && x.waitWritten()
+	unchanged := x.watcher.stop()
+	reusable = x.stopDeadline() && reusable && unchanged && x.waitWritten()
 	x.pool.put(x.pconn, reusable && x.pconn.r.Buffered() == 0)
 }
 
--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -4,14 +4,19 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
+
 	"dogwoodford/core/connection/dogoutcome"
 )
 
@@ -214,3 +219,53 @@
 		t.Errorf("%d connections for three calls that were answered 421, want 3", n)
 	}
 }
+
+// TestPausedReader guards against a call that is broken off because its server does not
+// read on for longer than the time after which a silent connection is closed.
+func TestPausedReader(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	addr, _ := rawServer(t, func(c net.Conn) {
+		if err := c.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		time.Sleep(4 * timeout)
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			io.WriteString(c, okResponse)
+		}
+	})
+	tr := NewTarget(Options{Liveness: Liveness{UnacknowledgedTimeout: timeout, ProbeInterval: timeout}})
+	defer tr.Close()
+	got, stage, err := exchangeOnce(t, tr, addr, strings.Repeat("x", 8<<20))
+	if err != nil || got != "ok" {
+		t.Errorf("answer %q, stage %v, error %v", got, stage, err)
+	}
+}
+
+// TestSilentPeers guards against a peer that counts as silent although it acknowledges what
+// it has got, and against waiting for one that does not. Each line of testdata/silence.txt
+// has what the kernel tells: milliseconds since the last acknowledgement, unacknowledged
+// segments, unanswered probes, the window in bytes, and milliseconds to the next probe.
+func TestSilentPeers(t *testing.T) {
+	data, err := os.ReadFile("testdata/silence.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	for line := range strings.Lines(string(data)) {
+		info, millis := &unix.TCPInfo{}, uint32(0)
+		if _, err := fmt.Sscan(line, &info.Last_ack_recv, &info.Unacked, &info.Probes, &info.Snd_wnd, &millis); err != nil {
+			t.Fatal(err)
+		}
+		info.Rto = 1000 * millis
+		line, _, _ = strings.Cut(line, " ->")
+		fmt.Fprintf(&got, "%s -> silent=%v\n", line, isSilent(info, time.Second))
+	}
+	if diff := cmp.Diff(string(data), got.String()); diff != "" {
+		t.Errorf("mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/io/connection/dogconn/liveness.go
+++ b/io/connection/dogconn/liveness.go
@@ -48,15 +48,51 @@
 }
 
 func (l Liveness) setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.UnacknowledgedTimeout.Milliseconds()))
+	return controlSocket(c, func(fd int) error { return putUserTimeout(fd, l.UnacknowledgedTimeout) })
+}
+
+// setUserTimeout sets the time after which unacknowledged bytes close c; 0 is the kernel's
+// default.
+func setUserTimeout(c net.Conn, d time.Duration) error {
+	return withSocket(c, func(fd int) error { return putUserTimeout(fd, d) })
+}
+
+func putUserTimeout(fd int, d time.Duration) error {
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds())); err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	return nil
+}
+
+// tcpInfo returns what the kernel tells about a connection.
+func tcpInfo(c net.Conn) (*unix.TCPInfo, error) {
+	var info *unix.TCPInfo
+	err := withSocket(c, func(fd int) (err error) {
+		if info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err != nil {
+			return fmt.Errorf("get TCP_INFO: %w", err)
+		}
+		return nil
 	})
-	if err == nil {
-		err = sockErr
+	return info, err
+}
+
+// withSocket calls f with the file descriptor of c.
+func withSocket(c net.Conn, f func(fd int) error) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("%T: %w", c, errors.ErrUnsupported)
 	}
+	raw, err := s.SyscallConn()
 	if err != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+		return fmt.Errorf("access socket: %w", err)
 	}
-	return nil
+	return controlSocket(raw, f)
+}
+
+func controlSocket(raw syscall.RawConn, f func(fd int) error) error {
+	var socketErr error
+	if err := raw.Control(func(fd uintptr) { socketErr = f(int(fd)) }); err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	return socketErr
 }
--- a/io/connection/dogconn/pool.go
+++ b/io/connection/dogconn/pool.go
@@ -24,6 +24,7 @@
 	dial        func(ctx context.Context, addr string) (*conn, error)
 	maxConns    int
 	idleTimeout time.Duration
+	liveness    Liveness
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -46,8 +47,8 @@
 	idleSince time.Time // End of the last call.
 }
 
-func newPool(dial func(ctx context.Context, addr string) (*conn, error), maxConns int, idleTimeout time.Duration) *pool {
-	return &pool{dial: dial, maxConns: maxConns, idleTimeout: idleTimeout, hosts: make(map[string]*host)}
+func newPool(dial func(ctx context.Context, addr string) (*conn, error), o Options) *pool {
+	return &pool{dial: dial, maxConns: o.MaxConns, idleTimeout: o.IdleTimeout, liveness: o.Liveness, hosts: make(map[string]*host)}
 }
 
 func (p *pool) host(addr string) *host {
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -90,7 +90,7 @@
 		t.open.Add(1)
 		return &conn{Conn: c, onClose: func() { t.open.Add(-1) }}, nil
 	}
-	t.pool = newPool(dial, o.MaxConns, o.IdleTimeout)
+	t.pool = newPool(dial, o)
 	t.http2 = &http.Transport{
 		Protocols:           &p,
 		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
