Tests: a shorter upload to the server that pauses its reading

With small windows, 8 MB take a minute after the pause. 256 kB pause the call as long (before the mend: "connection timed out" after 0.8 s) and take 3 s.

--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -240,7 +240,7 @@
 	})
 	tr := NewTarget(Options{Liveness: Liveness{UnacknowledgedTimeout: timeout, ProbeInterval: timeout}})
 	defer tr.Close()
-	got, stage, err := exchangeOnce(t, tr, addr, strings.Repeat("x", 8<<20))
+	got, stage, err := exchangeOnce(t, tr, addr, strings.Repeat("x", 256<<10))
 	if err != nil || got != "ok" {
 		t.Errorf("answer %q, stage %v, error %v", got, stage, err)
 	}
