Quarantined content is tested by its tester for whoever asks

Cause: after the quarantine of 30 s one node alone may test the content, the one beside the target that crashed last, and it did so only with a request of its own clients. Beside a service that only others call there is none, so that the content stayed refused for ten minutes more. If different callers had sent it, the tests for its caller and for all callers could belong to two nodes, and nobody was to test it. If the node was gone, it was the same.

Change: an entry passes a request with such a content on to the tester, at most one in 5 s, and the guard there decides whether it runs, at its own target. The content for all callers decides if both are held back. If the tester is not in use, the first node of the service by name takes its place. How many tests there are, and when, is as before.

Evidence: TestQuarantineTester and checkOneTest (two nodes may run the content, only the tester does); the old interface had no way to ask. The fleets of TestFleet, which now ask, keep their bound.

--- a/core/process/dogcrash/detector.go
+++ b/core/process/dogcrash/detector.go
@@ -138,15 +138,40 @@
 	return max(d.ownTab.QuarantineRemaining(now, c.Own), d.sharedTab.QuarantineRemaining(now, c.Shared))
 }
 
-// Test reports whether this node may send a quarantined content once, to find out
-// whether it still crashes targets.
-func (d *Detector) Test(now time.Time, c Content) bool {
-	own, shared := d.ownTab.QuarantineRemaining(now, c.Own) > 0, d.sharedTab.QuarantineRemaining(now, c.Shared) > 0
+// deciding returns the table and the digest that decide on a test of a content: those for
+// all callers, if the content is refused to all. It returns false if there is nothing to
+// test yet.
+func (d *Detector) deciding(now time.Time, c Content) (*Table, uint64, bool) {
+	_, own := d.ownTab.Tester(now, c.Own)
+	_, shared := d.sharedTab.Tester(now, c.Shared)
 	switch {
-	case own && shared:
-		return d.ownTab.Test(now, c.Own) && d.sharedTab.Test(now, c.Shared)
-	case own:
-		return d.ownTab.Test(now, c.Own)
+	case shared && (own || d.ownTab.QuarantineRemaining(now, c.Own) == 0):
+		return d.sharedTab, c.Shared, true
+	case own && d.sharedTab.QuarantineRemaining(now, c.Shared) == 0:
+		return d.ownTab, c.Own, true
 	}
-	return shared && d.sharedTab.Test(now, c.Shared)
+	return nil, 0, false
+}
+
+// Tester returns the node that is to find out whether a quarantined content still crashes
+// targets; false as long as nobody is to try.
+func (d *Detector) Tester(now time.Time, c Content) (string, bool) {
+	t, digest, ok := d.deciding(now, c)
+	if !ok {
+		return "", false
+	}
+	return t.Tester(now, digest)
+}
+
+// Ask reports whether this node may ask the tester of a content to test it.
+func (d *Detector) Ask(now time.Time, c Content) bool {
+	t, digest, ok := d.deciding(now, c)
+	return ok && t.Ask(now, digest)
+}
+
+// Test reports whether this node may send a quarantined content to its target once, to find
+// out whether it still crashes targets. The caller names the tester.
+func (d *Detector) Test(now time.Time, c Content, tester string) bool {
+	t, digest, ok := d.deciding(now, c)
+	return ok && t.Test(now, digest, tester)
 }
--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -65,10 +65,12 @@
 	case "vouches":
 		return fmt.Sprint(s.tables[node].HasCompleted(digest))
 	case "asks":
-		switch t := s.tables[node]; {
+		t := s.tables[node]
+		tester, _ := t.Tester(now, digest)
+		switch {
 		case t.QuarantineRemaining(now, digest) == 0:
 			return "free"
-		case t.Test(now, digest):
+		case t.Test(now, digest, tester):
 			return "tests"
 		}
 		return "quarantined"
--- a/core/process/dogcrash/fleet_test.go
+++ b/core/process/dogcrash/fleet_test.go
@@ -257,6 +257,16 @@
 	return nil
 }
 
+// node returns the node with this name, nil if there is none.
+func (f *simFleet) node(name string) *simNode {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
 // sendHarmless sends harmless requests from n as long as the simulation lasts.
 func (f *simFleet) sendHarmless(n *simNode) {
 	f.after(f.exponential(workTime/time.Duration(f.spec.progress)), func() {
@@ -301,12 +311,13 @@
 	c := Content{Shared: digest, Own: digest<<8 + uint64(entry.service) + 1}
 	cleared := entry.detector.HasCompleted(c)
 	if entry.detector.QuarantineRemaining(f.now, c) > 0 {
-		if cleared = entry.detector.Test(f.now, c); !cleared {
+		tester, _ := entry.detector.Tester(f.now, c)
+		if at, cleared = f.node(tester), false; at == nil || at.down || !entry.detector.Ask(f.now, c) {
 			refuse()
 			return
 		}
 	}
-	if !cleared && at.detector.QuarantineRemaining(f.now, c) > 0 {
+	if !cleared && at.detector.QuarantineRemaining(f.now, c) > 0 && !at.detector.Test(f.now, c, at.name) {
 		refuse()
 		return
 	}
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -27,9 +27,12 @@
 	// complete somewhere.
 	settleTime = time.Second
 	// holdTime is the time after a quarantine for which a content is still refused by
-	// all nodes but the one that tests it. If that node is gone, the content is free
-	// again after it.
+	// all nodes but the one that tests it. If no test ends, the content is free again
+	// after it.
 	holdTime = 10 * time.Minute
+	// askInterval is the time after which a node asks the tester of a content again to
+	// test it.
+	askInterval = 5 * time.Second
 	// crashRetention is the time for which a crash counts. It exceeds the length
 	// of the second quarantine and holdTime.
 	crashRetention = 40 * time.Minute
@@ -69,11 +72,12 @@
 	suspected time.Time
 	length    time.Duration // Of the current or last quarantine; 0 if there was none.
 	until     time.Time     // End of the quarantine.
-	// tester is the node that may send the content once when the quarantine ends,
-	// which is the one beside the target that crashed last, and testAt the time from
-	// which it may do so.
+	// tester is the node that may send the content to its target once when the
+	// quarantine ends, which is the one beside the target that crashed last, and testAt
+	// the time from which it may do so.
 	tester string
 	testAt time.Time
+	askAt  time.Time // Time from which this node may ask the tester to test the content.
 }
 
 // NewTable returns the table of a node without reports, which quarantines a content
@@ -318,14 +322,33 @@
 	return min(firstQuarantine, c.until.Add(holdTime).Sub(now))
 }
 
-// Test reports whether this node may send a quarantined content once, to find out
-// whether it still crashes targets. Of all nodes only one may do so, because the others
-// would not hear of the next crash before they send it too.
-func (t *Table) Test(now time.Time, digest uint64) bool {
-	c := t.counts[digest]
-	if c == nil || c.length == 0 || c.tester != t.node || now.Before(c.testAt) {
+// Tester returns the node that is to find out whether a content still crashes targets,
+// once its quarantine is over; false before, and if the content is not refused.
+func (t *Table) Tester(now time.Time, digest uint64) (string, bool) {
+	if t.QuarantineRemaining(now, digest) == 0 || t.counts[digest].quarantined(now) {
+		return "", false
+	}
+	return t.counts[digest].tester, true
+}
+
+// Ask reports whether this node may ask the tester of a content to test it, which it may
+// do once in askInterval.
+func (t *Table) Ask(now time.Time, digest uint64) bool {
+	if _, ok := t.Tester(now, digest); !ok || now.Before(t.counts[digest].askAt) {
+		return false
+	}
+	t.counts[digest].askAt = now.Add(askInterval)
+	return true
+}
+
+// Test reports whether this node may send a content to its target once, to find out whether
+// it still crashes targets. Of all nodes only the tester may do so, because the others
+// would not hear of the next crash before they send it too. The caller names the tester, as
+// another node takes its place if it is gone.
+func (t *Table) Test(now time.Time, digest uint64, tester string) bool {
+	if _, ok := t.Tester(now, digest); !ok || tester != t.node || now.Before(t.counts[digest].testAt) {
 		return false
 	}
-	c.testAt = now.Add(firstQuarantine)
+	t.counts[digest].testAt = now.Add(firstQuarantine)
 	return true
 }
--- a/io/process/dogsidecar/crash.go
+++ b/io/process/dogsidecar/crash.go
@@ -46,7 +46,41 @@
 func (s *state) TestQuarantined(c dogcrash.Content) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.detector.Test(time.Now(), c)
+	now := time.Now()
+	tester, ok := s.tester(now, c, s.settings.Service)
+	return ok && s.crashes.detector.Test(now, c, tester)
+}
+
+// QuarantineTester implements dogrelay.Crashes.
+func (s *state) QuarantineTester(c dogcrash.Content, service string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	tester, ok := s.tester(now, c, service)
+	return tester, ok && s.crashes.detector.Ask(now, c)
+}
+
+// tester returns the node that is to test a content at its target, which belongs to
+// service. If the one that the content's crashes determine is not in use, it is the first
+// by name. The caller must hold s.mu.
+func (s *state) tester(now time.Time, c dogcrash.Content, service string) (string, bool) {
+	tester, ok := s.crashes.detector.Tester(now, c)
+	if !ok {
+		return "", false
+	}
+	first := ""
+	for _, t := range s.fleet.Targets(now) {
+		if t.Service != service {
+			continue
+		}
+		if t.Node == tester {
+			return tester, true
+		}
+		if first == "" || t.Node < first {
+			first = t.Node
+		}
+	}
+	return first, first != ""
 }
 
 // HasCompleted implements dogrelay.Crashes.
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -75,6 +75,58 @@
 	}
 }
 
+// TestQuarantineTester guards against a harmless content that stays refused because the only
+// node that may test it gets no request with it, or is gone, and against tests by more than
+// one node.
+func TestQuarantineTester(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := dogcrash.Content{Shared: 17, Own: 7}
+		entry, tester, other := testState(t, func() int64 { return 1 }), testState(t, func() int64 { return 1 }), testState(t, func() int64 { return 1 })
+		entry.settings.Node, entry.settings.Service = "billing-1", "billing"
+		tester.settings.Node, other.settings.Node = "rounds-3", "rounds-2"
+		all := []*state{entry, tester, other}
+		for _, s := range all {
+			s.crashes.detector = dogcrash.NewDetector(s.settings.Node, "1")
+			for i, node := range []string{"rounds-1", "rounds-2", "rounds-3"} {
+				s.put(dogfleet.Entry{
+					Node: node, Service: "rounds", State: dogwoodford.StateReady,
+					Crashes: []dogcrash.Report{
+						{ID: node + "/1", Digests: []uint64{7}}, {ID: node + "/shared/1", Digests: []uint64{17}, Shared: true},
+						{ID: node + "/shared/2", Digests: []uint64{17}, Shared: true},
+					},
+				}, int64(i+1))
+			}
+		}
+		ask := func(want string) {
+			t.Helper()
+			got, _ := entry.QuarantineTester(c, "rounds")
+			if got != want {
+				t.Errorf("the entry may ask %q, want %q", got, want)
+			}
+		}
+		if node, ok := entry.QuarantineTester(c, "rounds"); ok {
+			t.Errorf("%s may be asked during the quarantine", node)
+		}
+		time.Sleep(30 * time.Second)
+		ask("rounds-3")
+		if _, ok := entry.QuarantineTester(c, "rounds"); ok {
+			t.Error("the entry asks again at once")
+		}
+		if entry.TestQuarantined(c) || other.TestQuarantined(c) || !tester.TestQuarantined(c) || tester.TestQuarantined(c) {
+			t.Error("not exactly one test, by the tester")
+		}
+		time.Sleep(5 * time.Second)
+		for _, s := range all {
+			s.MarkUnreachable("rounds-1", true)
+			s.MarkUnreachable("rounds-3", true)
+		}
+		ask("rounds-2")
+		if !other.TestQuarantined(c) {
+			t.Error("no test by the node that takes the place of the tester")
+		}
+	})
+}
+
 // TestCrashesOutlastRestarts guards against reports that are lost when the node that
 // wrote them is restarted: nodes that start later would not know of the crashes.
 func TestCrashesOutlastRestarts(t *testing.T) {
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -25,9 +25,11 @@
 	body     *body
 	content  dogcrash.Content
 	// cleared tells whether guards run the content although it may be quarantined:
-	// the entry knows that a target completed it and does not quarantine it, or
-	// tests it.
+	// the entry knows that a target completed it and does not quarantine it.
 	cleared bool
+	// tester is the only node that the call may be sent to, if not empty: it decides
+	// whether to test the content, which is quarantined.
+	tester string
 }
 
 // request returns the description of c for admission and routing.
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -93,8 +93,12 @@
 	// QuarantineRemaining returns how much longer a content is refused, 0 if it is
 	// not quarantined.
 	QuarantineRemaining(c dogcrash.Content) time.Duration
-	// TestQuarantined reports whether this node may send a quarantined content
-	// once, to find out whether it still crashes targets.
+	// QuarantineTester returns the node that decides whether to test a quarantined
+	// content at its target, which belongs to service. It returns false if there is
+	// none, or if this node has asked it a short time ago.
+	QuarantineTester(c dogcrash.Content, service string) (node string, ok bool)
+	// TestQuarantined reports whether this node may send a quarantined content to its
+	// target once, to find out whether it still crashes targets.
 	TestQuarantined(c dogcrash.Content) bool
 }
 
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -89,10 +89,12 @@
 	c.content = contentOf(c.caller, sharedDigest(r, b))
 	c.cleared = h.cfg.Crashes.HasCompleted(c.content)
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 {
-		if c.cleared = h.cfg.Crashes.TestQuarantined(c.content); !c.cleared {
+		// Its tester may let one pass.
+		var ok bool
+		if c.tester, ok = h.cfg.Crashes.QuarantineTester(c.content, c.service); !ok {
 			return refused(dogwoodford.ReasonQuarantined, remaining), c
 		}
-		h.cfg.Log.Event(ctx, doglog.QuarantineTested, idAttr(c.id), serviceAttr(c.service))
+		c.cleared = false
 	}
 	ctx, cancel := h.withDeadline(ctx, c.deadline.Add(answerGrace-lag))
 	res := h.admitAndSend(ctx, c, route, parent)
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -266,7 +266,8 @@
 	unreachable    []string // Nodes recorded as unreachable.
 	brokenRequests []string // IDs of requests whose connection broke.
 	quarantined    dogcrash.Content
-	tests          int // Requests with quarantined content that may pass.
+	tests          int    // Requests with quarantined content that the guard may let pass.
+	tester         string // Node that decides on quarantined content, if any.
 	completed      []dogcrash.Content
 }
 
@@ -347,6 +348,10 @@
 	return 0
 }
 
+func (w *fakeDeps) QuarantineTester(dogcrash.Content, string) (string, bool) {
+	return w.tester, w.tester != ""
+}
+
 func (w *fakeDeps) TestQuarantined(dogcrash.Content) bool {
 	w.tests--
 	return w.tests >= 0
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -137,7 +137,10 @@
 	}
 	// The entry may know of a completion that this node does not know of.
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 && !c.cleared {
-		return refused(dogwoodford.ReasonQuarantined, remaining)
+		if !h.cfg.Crashes.TestQuarantined(c.content) {
+			return refused(dogwoodford.ReasonQuarantined, remaining)
+		}
+		h.cfg.Log.Event(ctx, doglog.QuarantineTested, idAttr(c.id), serviceAttr(c.service))
 	}
 	if !time.Now().Before(c.deadline) {
 		return refused(dogwoodford.ReasonDeadline, 0)
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -433,19 +433,29 @@
 		if guard.target.count() != 2 {
 			t.Errorf("the target ran %d requests, want 2", guard.target.count())
 		}
-		guard.quarantined, entry.tests = entry.quarantined, 1
-		checkOneTest(t, entry)
+		guard.quarantined = entry.quarantined
+		checkOneTest(t, entry, guard)
 	}
 }
 
-// checkOneTest checks that an entry which may test a quarantined content sends it once.
-func checkOneTest(t *testing.T, entry *testNode) {
+// checkOneTest checks that a content which entry and guard quarantine runs once, at the node
+// that tests it.
+func checkOneTest(t *testing.T, entry, guard *testNode) {
 	t.Helper()
+	tester := newTestNode(t, "tester", "rounds", "ok", time.Second)
+	tester.quarantined, tester.tests, guard.tests = entry.quarantined, 1, 1
+	entry.addGuards(guard, tester)
+	entry.targets[len(entry.targets)-1].Node = "tester"
+	entry.tester = "tester"
+	runs := guard.target.count()
 	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
 		if status, _, _, err := post(t, entry, "upload", "a5", "payload"); err != nil || status != want {
 			t.Errorf("test of quarantined content: status %d, error %v; want %d", status, err, want)
 		}
 	}
+	if guard.target.count() != runs || tester.target.count() != 1 {
+		t.Errorf("%d runs at another node, %d at the tester; want none and one", guard.target.count()-runs, tester.target.count())
+	}
 }
 
 // TestMaxInProgress guards against a node that is killed because it uses too much
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"dogwoodford"
@@ -34,7 +35,11 @@
 // pick returns the target of the next attempt at a call, false if there is none.
 func (h *Handlers) pick(c *call, s *sending) (dogwoodford.Target, bool) {
 	c.attempt++
-	t, reason := h.cfg.Router.Pick(c.request(), h.cfg.Fleet.Targets(), s.tried, "")
+	targets := h.cfg.Fleet.Targets()
+	if c.tester != "" {
+		targets = named(targets, c.tester)
+	}
+	t, reason := h.cfg.Router.Pick(c.request(), targets, s.tried, "")
 	if reason != dogwoodford.ReasonNone {
 		return dogwoodford.Target{}, false
 	}
@@ -42,6 +47,15 @@
 	return t, true
 }
 
+// named returns the target beside the node with this name, none if it is not there.
+func named(targets []dogwoodford.Target, node string) []dogwoodford.Target {
+	i := slices.IndexFunc(targets, func(t dogwoodford.Target) bool { return t.Node == node })
+	if i < 0 {
+		return nil
+	}
+	return []dogwoodford.Target{targets[i]}
+}
+
 // sendWithRetries sends a call to one target after another until one answers
 // without a failure of its own or no further attempt is permitted.
 func (h *Handlers) sendWithRetries(ctx context.Context, c *call, route *dogtable.Route) *result {
