dogrelay: a target's own 408, 429 or 503 does not promise that nothing ran

Cause: the status of a target is passed on, and three of them are promises.

Change: without the mark, these three reach the caller as 502, with headers and body of the target.

--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -138,6 +138,10 @@
 	if strings.HasPrefix(f.script, "large") {
 		return f.answerLarge(c, id)
 	}
+	if status, ok := strings.CutPrefix(f.script, "ran-"); ok {
+		head(status+" Status", id, seal+whole)
+		return true
+	}
 	switch f.script {
 	case "ok":
 		head("200 OK", id, seal+whole)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -226,11 +226,22 @@
 		return h.badAnswer(ctx, c, "response without seal")
 	}
 	return &result{
-		outcome: dogwoodford.OutcomeRan, mayHaveArrived: true, status: resp.StatusCode,
+		outcome: dogwoodford.OutcomeRan, mayHaveArrived: true, status: withoutPromise(resp.StatusCode),
 		header: keepEndToEnd(resp.Header), body: b, release: func() { _ = resp.Body.Close() },
 	}
 }
 
+// withoutPromise returns the status for the caller of a request that ran, or may have run,
+// although its target answered with this status. Callers take some statuses for a promise
+// that it did not run.
+func withoutPromise(status int) int {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // isPlainMisdirected reports whether a response with this attempt ID is a 421 without
 // an ID. Targets may leave it out, as they did not read the request. It cannot be an
 // earlier refusal that a faulty target writes once more, because the connection is not
