dogrelay: names with spaces, paths and Idempotency-Key pass unchanged

Cause: the header between nodes is split at spaces; package url encodes what it would not have written itself; net/http would repeat requests with that header, but calls over HTTP/1 do not pass through its transport.

Change: names are escaped in the header if they need it, so that others stay readable for earlier builds; a path that package url would change is sent as it came; the header is removed with HTTP/2 only, which the sidecar does not use. A path that begins with two slashes is left to package url.

Evidence: TestForwardedRequest with two more URIs and that header, and TestHeaderRoundTrip with such names; all failed before.

--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -128,8 +128,8 @@
 // Do sends req and returns the response, whose body is still to be read, and
 // the stage dogoutcome.Headers. On an error the stage tells whether anything
 // may have been written; after NothingWritten or DialFailed nothing will be. Do
-// removes Idempotency-Key headers from req, clears GetBody and replaces an
-// absent body. The caller must close the body of the response.
+// clears GetBody and replaces an absent body; with HTTP2 it removes Idempotency-Key
+// headers from req. The caller must close the body of the response.
 func (t *Transport) Do(req *http.Request) (*http.Response, dogoutcome.Stage, error) {
 	t.forbidReplay(req)
 	if t.protocol == HTTP1 {
@@ -146,13 +146,15 @@
 }
 
 // forbidReplay modifies req so that net/http does not send it a second time
-// unless nothing was written. Without it, net/http repeats GET, HEAD, OPTIONS
-// and TRACE, and anything with an Idempotency-Key, when a reused connection
-// breaks, and HTTP/2 repeats any call without a body after some stream errors.
+// unless nothing was written. Only calls over HTTP/2 pass through its transport, which
+// otherwise repeats GET, HEAD, OPTIONS and TRACE, and anything with an Idempotency-Key,
+// when a reused connection breaks, and any call without a body after some stream errors.
 func (t *Transport) forbidReplay(req *http.Request) {
 	req.GetBody = nil
-	req.Header.Del("Idempotency-Key")
-	req.Header.Del("X-Idempotency-Key")
+	if t.protocol == HTTP2 {
+		req.Header.Del("Idempotency-Key")
+		req.Header.Del("X-Idempotency-Key")
+	}
 	if req.Body != nil && req.Body != http.NoBody {
 		return
 	}
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"dogwoodford"
@@ -47,6 +48,9 @@
 func (c *call) outgoing(ctx context.Context, addr string) *http.Request {
 	u := *c.source.URL
 	u.Scheme, u.Host = "http", addr
+	if path, _, _ := strings.Cut(c.source.RequestURI, "?"); path != u.EscapedPath() && isPlainPath(path) {
+		u.Opaque = path // Package url would encode some of its characters.
+	}
 	out := &http.Request{
 		Method: c.source.Method, URL: &u, Host: c.source.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -59,6 +63,12 @@
 	return out.WithContext(ctx)
 }
 
+// isPlainPath reports whether path can be the opaque part of a URL, which would take what
+// follows two slashes for a host.
+func isPlainPath(path string) bool {
+	return strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//")
+}
+
 // digestMask keeps the bits of a digest that fit into a non-negative int64, the
 // form of numbers in headerCall.
 const digestMask = 1<<63 - 1
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -115,7 +116,30 @@
 			return nil, nil, fmt.Errorf("%s %q: %w", name, text, errPeerHeader)
 		}
 	}
-	return n, fields[numbers:], nil
+	out := fields[numbers:]
+	for i := range out {
+		out[i] = unescapeField(out[i])
+	}
+	return n, out, nil
+}
+
+// escapeField returns a name as a field of a header. Names without bytes that end a field,
+// or that headers may not have, stay as they are, as nodes of earlier builds expect.
+func escapeField(name string) string {
+	special := func(r rune) bool { return r <= ' ' || r == '%' || r >= 0x7f }
+	if strings.IndexFunc(name, special) < 0 {
+		return name
+	}
+	return url.PathEscape(name)
+}
+
+// unescapeField returns the name that escapeField was given. Nodes of earlier builds send
+// names with "%" as they are.
+func unescapeField(field string) string {
+	if name, err := url.PathUnescape(field); err == nil {
+		return name
+	}
+	return field
 }
 
 // boolToInt returns 1 for true and 0 for false.
@@ -129,8 +153,8 @@
 // formatCall sets headerCall to the fields of c that the guard needs.
 func (h *Handlers) formatCall(out http.Header, c *call, now time.Time) {
 	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
-		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, c.lineage.class, h.cfg.Peer,
-		c.service, c.caller)}
+		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, escapeField(c.lineage.class), h.cfg.Peer,
+		escapeField(c.service), escapeField(c.caller))}
 	if c.cleared {
 		out[headerCleared] = []string{"1"}
 	}
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -1,6 +1,7 @@
 package dogrelay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -209,16 +210,33 @@
 // target, that carry the service a caller claims instead of the real one, or that
 // lack the ID of the expected instance.
 func TestForwardedRequest(t *testing.T) {
+	for _, uri := range []string{"/upload/x?q=1", "/upload/a|b^\"{}\xff%7C?", "/upload//%2f/\u00e9?q=|"} {
+		checkForwarded(t, uri)
+	}
+}
+
+// checkForwarded checks what a target gets of a request with this URI.
+func checkForwarded(t *testing.T, uri string) {
+	t.Helper()
 	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
 	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
 	entry.addGuards(guard)
-	if status, _, _, err := post(t, entry, "upload", "a1", "payload"); err != nil || status != http.StatusOK {
-		t.Fatalf("status %d, error %v", status, err)
+	c, err := net.Dial("tcp", entry.entry.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: a1\r\n%s: forged\r\nIdempotency-Key: k\r\nContent-Length: 7\r\n\r\npayload",
+		uri, testHeaders.Attempt, testHeaders.Caller)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%q: response %v, error %v", uri, resp, err)
 	}
+	resp.Body.Close()
 	r := guard.target.requests[0]
 	got := []string{r.Method, r.Host, r.RequestURI, guard.target.bodies[0], r.Header.Get(testHeaders.Attempt),
-		r.Header.Get(testHeaders.Caller), r.Header.Get(testHeaders.ExpectInstance)}
-	if diff := cmp.Diff([]string{"POST", "h", "/upload/x?q=1", "payload", "a1", "billing", "i-1"}, got); diff != "" {
+		r.Header.Get(testHeaders.Caller), r.Header.Get(testHeaders.ExpectInstance), r.Header.Get("Idempotency-Key")}
+	if diff := cmp.Diff([]string{"POST", "h", uri, "payload", "a1", "billing", "i-1", "k"}, got); diff != "" {
 		t.Errorf("request at the target (-want +got):\n%s", diff)
 	}
 	for name := range r.Header {
@@ -510,10 +528,10 @@
 	n := newTestNode(t, "node", "rounds", "ok", time.Second)
 	now := time.Now()
 	c := &call{
-		id: "a1.b2", service: "rounds", caller: "billing", kind: dogtable.Upload, attempt: 2,
+		id: "a1.b2", service: "all rounds", caller: "billing\n", kind: dogtable.Upload, attempt: 2,
 		deadline: now.Add(300 * time.Millisecond),
-		lineage:  lineage{root: "a1", class: "sheet", priority: 5, hop: 1, retried: true},
-		content:  contentOf("billing", 1<<63-1), cleared: true,
+		lineage:  lineage{root: "a1", class: "time sheet 100%", priority: 5, hop: 1, retried: true},
+		content:  contentOf("billing\n", 1<<63-1), cleared: true,
 	}
 	r, err := http.NewRequest("GET", "http://h/", nil)
 	if err != nil {
