platform: a changed address of the store takes effect while the node runs

Change: each read of the settings sets the address for later calls. Beside it, the metric departures counts no requests that have ended at their deadline any more.

--- a/cmd/dogwoodford/sidecar.go
+++ b/cmd/dogwoodford/sidecar.go
@@ -19,11 +19,14 @@
 	if err != nil {
 		return fmt.Errorf("run sidecar: %w", err)
 	}
+	store := platform.NewStore(file.Store)
 	source := dogsidecar.SettingsSource{Signal: hangupSignals(ctx), Read: func() (dogsidecar.Settings, error) {
 		f, err := platform.ReadSettings(path)
+		if err == nil {
+			store.SetAddress(f.Store)
+		}
 		return f.Sidecar, err
 	}}
-	store := platform.NewStore(file.Store)
 	if err := dogsidecar.Run(ctx, file.Sidecar, platform.Dialect{}, store, source, os.Stdout); err != nil {
 		return fmt.Errorf("run sidecar: %w", err)
 	}
--- a/io/request/dogrelay/observe.go
+++ b/io/request/dogrelay/observe.go
@@ -20,14 +20,14 @@
 // recordDeparture counts a request that has ended after its caller left. sent tells
 // whether it had been sent on by then.
 func (h *Handlers) recordDeparture(ctx context.Context, sent bool, sentLabel, unsentLabel string) {
-	if ctx.Err() == nil {
-		return
+	if ctx.Err() != context.Canceled {
+		return // Its caller is there, or its time is up.
 	}
+	label := unsentLabel
 	if sent {
-		h.cfg.Metrics.AddTo(dogmetric.Departures, sentLabel, 1)
-		return
+		label = sentLabel
 	}
-	h.cfg.Metrics.AddTo(dogmetric.Departures, unsentLabel, 1)
+	h.cfg.Metrics.AddTo(dogmetric.Departures, label, 1)
 }
 
 // lateTolerance is how long after its deadline a request may be answered without a log
