--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -135,6 +135,9 @@
 	if reason != dogwoodford.ReasonNone {
 		return refused(reason, 0)
 	}
+	if !time.Now().Before(c.deadline) {
+		return refused(dogwoodford.ReasonDeadline, 0)
+	}
 	// The entry may know of a completion that this node does not know of.
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 && !c.cleared {
 		if !h.cfg.Crashes.TestQuarantined(c.content) {
@@ -142,9 +145,6 @@
 		}
 		h.cfg.Log.Event(ctx, doglog.QuarantineTested, idAttr(c.id), serviceAttr(c.service))
 	}
-	if !time.Now().Before(c.deadline) {
-		return refused(dogwoodford.ReasonDeadline, 0)
-	}
 	if !c.kind.Repeatable() {
 		// A request that is not idempotent is not cancelled with its caller but
 		// runs until the deadline, because the caller cannot repeat it.
