dogcrash: all nodes take the same node for the tester of a content

Cause: the tester was the node whose report had come last. Three workers that end at once are reported at once, and the reports reach each node in another order, so that an entry asked one that took another for the tester.

Change: the tester is the node of the last report by ID.

Evidence: TestSameTester; before, "testers map[a:true b:true c:true]".

--- a/core/process/dogcrash/dogcrash_test.go
+++ b/core/process/dogcrash/dogcrash_test.go
@@ -98,6 +98,27 @@
 	return fmt.Sprint(r.ID, " ", r.Digests)
 }
 
+// TestSameTester guards against nodes that each take another one for the tester of a content,
+// so that none tests it: reports of crashes at the same time reach them in any order.
+func TestSameTester(t *testing.T) {
+	reports := []Report{{ID: "b/9/1", Digests: []uint64{7}}, {ID: "c/5/1", Digests: []uint64{7}}, {ID: "a/7/1", Digests: []uint64{7}}}
+	testers := make(map[string]bool)
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		tab := NewTable("d", quarantineThreshold)
+		for _, i := range order {
+			tab.AddReport(start, reports[i])
+		}
+		tester, ok := tab.Tester(start.Add(firstQuarantine), 7)
+		if !ok {
+			t.Errorf("order %v: no tester after the quarantine", order)
+		}
+		testers[tester] = true
+	}
+	if len(testers) != 1 {
+		t.Errorf("testers %v, want the same one in each order", testers)
+	}
+}
+
 // TestBounds guards against a table that grows without bound as crashes and completed
 // contents are added.
 func TestBounds(t *testing.T) {
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -72,12 +72,12 @@
 	suspected time.Time
 	length    time.Duration // Of the current or last quarantine; 0 if there was none.
 	until     time.Time     // End of the quarantine.
-	// tester is the node that may send the content to its target once when the
-	// quarantine ends, which is the one beside the target that crashed last, and testAt
-	// the time from which it may do so.
-	tester string
-	testAt time.Time
-	askAt  time.Time // Time from which this node may ask the tester to test the content.
+	// testerReport is the ID of the report whose node may send the content to its target
+	// once when the quarantine ends, and testAt the time from which it may do so. It is
+	// the last one by ID, whatever the order of arrival, so that all nodes agree.
+	testerReport string
+	testAt       time.Time
+	askAt        time.Time // Time from which this node may ask the tester to test the content.
 }
 
 // NewTable returns the table of a node without reports, which quarantines a content
@@ -112,11 +112,13 @@
 	var suspects []uint64
 	for i, d := range r.Digests {
 		c := t.doubt(now, d)
+		if r.ID > c.testerReport {
+			c.testerReport = r.ID
+		}
 		if explained && c.length == 0 {
 			continue
 		}
 		c.crashes++
-		c.tester = r.node()
 		if i < len(r.recent()) {
 			c.recent++
 		}
@@ -328,7 +330,7 @@
 	if t.QuarantineRemaining(now, digest) == 0 || t.counts[digest].quarantined(now) {
 		return "", false
 	}
-	return t.counts[digest].tester, true
+	return Report{ID: t.counts[digest].testerReport}.node(), true
 }
 
 // Ask reports whether this node may ask the tester of a content to test it, which it may
