--- a/io/process/dogsidecar/peers_test.go
+++ b/io/process/dogsidecar/peers_test.go
@@ -61,6 +61,39 @@
 	})
 }
 
+// TestRefusedRemovals guards against a node that asks a store too often which refuses each
+// removal, and against one that no longer tries when the store is well again.
+func TestRefusedRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testState(t, func() int64 { return 1 })
+		for i := range 5 {
+			s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
+		}
+		s.MarkUnreachable("depot-1", true)
+		time.Sleep(31 * time.Second)
+		store := newFakeStore()
+		store.err = dogwoodford.ErrUnavailable
+		p := &peers{state: s, store: store, log: s.log}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- p.removeUnreachable(ctx) }()
+		time.Sleep(time.Minute)
+		if n := store.removals.Load(); n < 6 || n > 12 {
+			t.Errorf("%d attempts in a minute, want 6 to 12", n)
+		}
+		if n := s.NodeCount(); n != 5 {
+			t.Errorf("%d nodes are known while no removal succeeds, want 5", n)
+		}
+		store.setError(nil)
+		time.Sleep(6 * time.Second)
+		if n := s.NodeCount(); n != 4 {
+			t.Errorf("%d nodes are known after the removal, want 4", n)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // TestReusedAddress guards against a node that is used without end although it is gone,
 // because another one answers pings at its address.
 func TestReusedAddress(t *testing.T) {
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -34,6 +34,7 @@
 	err         error // Returned by all calls.
 	lists       int
 	writes      int
+	removals    atomic.Int64
 }
 
 func (f *fakeStore) List(context.Context, string) ([]dogwoodford.Object, int64, error) {
@@ -85,7 +86,18 @@
 	return f.revision, nil
 }
 
-func (f *fakeStore) Delete(context.Context, string, string, int64) error { return f.err }
+func (f *fakeStore) Delete(context.Context, string, string, int64) error {
+	f.removals.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+func (f *fakeStore) setError(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
 
 func (f *fakeStore) listed() int {
 	f.mu.Lock()
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -1,7 +1,6 @@
 package dogrelay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -18,10 +17,8 @@
 	"golang.org/x/tools/txtar"
 
 	"dogwoodford"
-	"dogwoodford/core/process/dogcrash"
 	"dogwoodford/core/process/dogtree"
 	"dogwoodford/core/request/dogcall"
-	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogpipeline"
 )
 
@@ -206,46 +203,6 @@
 	}
 }
 
-// TestForwardedRequest guards against requests that are changed on the way to the
-// target, that carry the service a caller claims instead of the real one, or that
-// lack the ID of the expected instance.
-func TestForwardedRequest(t *testing.T) {
-	for _, uri := range []string{"/upload/x?q=1", "/upload/a|b^\"{}\xff%7C?", "/upload//%2f/\u00e9?q=|"} {
-		checkForwarded(t, uri)
-	}
-}
-
-// checkForwarded checks what a target gets of a request with this URI.
-func checkForwarded(t *testing.T, uri string) {
-	t.Helper()
-	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
-	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
-	entry.addGuards(guard)
-	c, err := net.Dial("tcp", entry.entry.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: a1\r\n%s: forged\r\nIdempotency-Key: k\r\nContent-Length: 7\r\n\r\npayload",
-		uri, testHeaders.Attempt, testHeaders.Caller)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("%q: response %v, error %v", uri, resp, err)
-	}
-	resp.Body.Close()
-	r := guard.target.requests[0]
-	got := []string{r.Method, r.Host, r.RequestURI, guard.target.bodies[0], r.Header.Get(testHeaders.Attempt),
-		r.Header.Get(testHeaders.Caller), r.Header.Get(testHeaders.ExpectInstance), r.Header.Get("Idempotency-Key")}
-	if diff := cmp.Diff([]string{"POST", "h", uri, "payload", "a1", "billing", "i-1", "k"}, got); diff != "" {
-		t.Errorf("request at the target (-want +got):\n%s", diff)
-	}
-	for name := range r.Header {
-		if dogcall.IsReservedHeader(name) {
-			t.Errorf("the target sees the header %s", name)
-		}
-	}
-}
-
 // TestChildCalls guards against child calls that do not inherit the importance of
 // their parent, and against refusing them because of overload downstream, which
 // would waste the work already done for the parent.
@@ -411,71 +368,6 @@
 	return "deadline"
 }
 
-// TestCrashes guards against confusing content that may have crashed a target
-// with content that completed, as after an error response of the target, and
-// against running quarantined content.
-func TestCrashes(t *testing.T) {
-	for script, want := range map[string][2]int{
-		"reset": {1, 0}, "garbage": {1, 0}, "ok": {0, 1}, "500": {0, 0}, "shed": {0, 0}, "refuse": {0, 0},
-	} {
-		entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
-		guard := newTestNode(t, "guard", "rounds", script, time.Second)
-		entry.addGuards(guard)
-		if _, _, _, err := post(t, entry, "upload", "a1", "payload"); err != nil {
-			t.Fatal(err)
-		}
-		if got := [2]int{len(guard.brokenRequests), len(guard.completed)}; got != want {
-			t.Errorf("%s: broken and completed %v, want %v", script, got, want)
-		}
-		if len(entry.completed) != want[1] {
-			t.Errorf("%s: the entry knows of %d completed, want %d", script, len(entry.completed), want[1])
-		}
-		if script != "ok" {
-			continue
-		}
-		// The guard quarantines the content, but the entry knows that it has
-		// completed.
-		guard.quarantined = guard.completed[0]
-		if status, _, _, err := post(t, entry, "upload", "a4", "payload"); err != nil || status != http.StatusOK {
-			t.Errorf("quarantined at the guard, known at the entry: status %d, error %v; want 200", status, err)
-		}
-		entry.completed = nil
-		status, h, _, err := post(t, entry, "upload", "a2", "payload")
-		if err != nil || status != http.StatusServiceUnavailable || h.Get(dogcall.HeaderReason) != string(dogwoodford.ReasonQuarantined) {
-			t.Errorf("quarantined at the guard: status %d %v, error %v; want 503", status, h, err)
-		}
-		entry.quarantined, guard.quarantined = guard.quarantined, dogcrash.Content{}
-		if status, _, _, err := post(t, entry, "upload", "a3", "payload"); err != nil || status != http.StatusServiceUnavailable {
-			t.Errorf("quarantined at the entry: status %d, error %v; want 503", status, err)
-		}
-		if guard.target.count() != 2 {
-			t.Errorf("the target ran %d requests, want 2", guard.target.count())
-		}
-		guard.quarantined = entry.quarantined
-		checkOneTest(t, entry, guard)
-	}
-}
-
-// checkOneTest checks that a content which entry and guard quarantine runs once, at the node
-// that tests it.
-func checkOneTest(t *testing.T, entry, guard *testNode) {
-	t.Helper()
-	tester := newTestNode(t, "tester", "rounds", "ok", time.Second)
-	tester.quarantined, tester.tests, guard.tests = entry.quarantined, 1, 1
-	entry.addGuards(guard, tester)
-	entry.targets[len(entry.targets)-1].Node = "tester"
-	entry.tester = "tester"
-	runs := guard.target.count()
-	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
-		if status, _, _, err := post(t, entry, "upload", "a5", "payload"); err != nil || status != want {
-			t.Errorf("test of quarantined content: status %d, error %v; want %d", status, err, want)
-		}
-	}
-	if guard.target.count() != runs || tester.target.count() != 1 {
-		t.Errorf("%d runs at another node, %d at the tester; want none and one", guard.target.count()-runs, tester.target.count())
-	}
-}
-
 // TestMaxInProgress guards against a node that is killed because it uses too much
 // memory, and against an entry that refuses child calls of requests in progress.
 func TestMaxInProgress(t *testing.T) {
@@ -521,73 +413,3 @@
 		t.Errorf("status %d, error %v, %d requests at the other service", status, err, other.target.count())
 	}
 }
-
-// TestHeaderRoundTrip guards against formatting and parsing the fields between
-// nodes in a different order.
-func TestHeaderRoundTrip(t *testing.T) {
-	n := newTestNode(t, "node", "rounds", "ok", time.Second)
-	now := time.Now()
-	c := &call{
-		id: "a1.b2", service: "all rounds", caller: "billing\n", kind: dogtable.Upload, attempt: 2,
-		deadline: now.Add(300 * time.Millisecond),
-		lineage:  lineage{root: "a1", class: "time sheet 100%", priority: 5, hop: 1, retried: true},
-		content:  contentOf("billing\n", 1<<63-1), cleared: true,
-	}
-	r, err := http.NewRequest("GET", "http://h/", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set(testHeaders.Attempt, c.id)
-	n.relay.formatCall(r.Header, c, now)
-	got, err := n.relay.parseCall(r, now)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got.source = nil
-	if diff := cmp.Diff(c, got, cmp.AllowUnexported(call{}, lineage{})); diff != "" {
-		t.Errorf("call (-want +got):\n%s", diff)
-	}
-	res := &result{
-		outcome: dogwoodford.OutcomeNotRun, reason: dogwoodford.ReasonOverload, retryAfter: 1200 * time.Millisecond,
-		childFailed: true, load: &dogwoodford.Load{InFlight: 1, Queued: 2, Limit: 3, Cutoff: 4}, downstreamCutoff: 5,
-	}
-	h := make(http.Header)
-	formatAnswer(h, res, 7)
-	parsed, version, err := parseAnswer(h)
-	if err != nil || version != 7 {
-		t.Fatalf("version %d, error %v", version, err)
-	}
-	if diff := cmp.Diff(res, parsed, cmp.AllowUnexported(result{})); diff != "" {
-		t.Errorf("answer (-want +got):\n%s", diff)
-	}
-}
-
-// TestEndToEnd guards against forwarding hop-by-hop headers or headers between
-// nodes, and against dropping others.
-func TestEndToEnd(t *testing.T) {
-	in := http.Header{
-		"Connection": {"X-Hop, keep-alive"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
-		dogcall.HeaderReason: {"x"}, "X-Seal": {"s"}, "Content-Type": {"a/b"}, "Cookie": {"a", "b"},
-	}
-	want := http.Header{"X-Seal": {"s"}, "Content-Type": {"a/b"}, "Cookie": {"a", "b"}}
-	if diff := cmp.Diff(want, endToEnd(in)); diff != "" {
-		t.Errorf("copied headers (-want +got):\n%s", diff)
-	}
-	if diff := cmp.Diff(want, keepEndToEnd(in)); diff != "" {
-		t.Errorf("kept headers (-want +got):\n%s", diff)
-	}
-}
-
-// FuzzParseCall guards against panics on headers of other nodes.
-func FuzzParseCall(f *testing.F) {
-	f.Add("1 1 300 1 2 0 0 9 sheet 10.0.0.1:1 rounds billing")
-	f.Add("")
-	h := New(Config{Headers: testHeaders, Fleet: &fakeDeps{}})
-	f.Fuzz(func(_ *testing.T, text string) {
-		r := &http.Request{Header: http.Header{headerCall: {text}}}
-		if c, err := h.parseCall(r, time.Now()); err == nil {
-			c.body = &body{}
-			c.request()
-		}
-	})
-}
