dogfleet: whether a member is new is known where it is made

The field checked of each member only told that supersede had seen it once, which Put knows as it makes the member. No change of behaviour; the scripts pass as they are. A test step says its optional address plainly.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -80,7 +80,6 @@
 	probeAt    time.Time     // Time of the next probe.
 	backoff    time.Duration // Time between the last failure and the next probe.
 	silent     bool          // No response at all. A refused connection shows that the machine runs.
-	checked    bool          // The address was compared with those of the others.
 }
 
 // New returns an empty view.
@@ -93,7 +92,8 @@
 	if m != nil && version <= m.version {
 		return false
 	}
-	if m == nil || m.entry.Peer != e.Peer {
+	isNew := m == nil || m.entry.Peer != e.Peer
+	if isNew {
 		m = &member{}
 		f.members[e.Node] = m
 	}
@@ -105,18 +105,16 @@
 	}
 	m.entry, m.version = e, version
 	f.targets = nil
-	f.supersede(now, m)
+	if isNew && e.Peer != "" {
+		f.supersede(now, m)
+	}
 	return true
 }
 
 // supersede marks the nodes unreachable whose address another node has got, by the order
-// in which the entries were written: m or those that had its address before. Only new
-// members need it, as a changed address makes one.
+// in which the entries were written: the new member m, or those that had its address
+// before.
 func (f *Fleet) supersede(now time.Time, m *member) {
-	if m.checked || m.entry.Peer == "" {
-		return
-	}
-	m.checked = true
 	for name, other := range f.members {
 		switch {
 		case other == m || other.entry.Peer != m.entry.Peer:
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -72,7 +72,11 @@
 	}
 	switch w[1] {
 	case "put": // Node, service, state, version and address, which is the node by default.
-		f.Put(now, Entry{Node: w[2], Service: w[3], State: states[w[4]], Peer: slices.Concat(w, w[2:3])[6]}, number(w[5]))
+		peer := w[2]
+		if len(w) > 6 {
+			peer = w[6]
+		}
+		f.Put(now, Entry{Node: w[2], Service: w[3], State: states[w[4]], Peer: peer}, number(w[5]))
 	case "remove":
 		f.Remove(w[2], number(w[3]))
 	case "keep":
