--- a/core/process/dogcrash/guard.go
+++ b/core/process/dogcrash/guard.go
@@ -44,9 +44,9 @@
 	Cleared []uint64 `json:"cleared,omitempty"`
 }
 
-// node returns the name of the node that reports.
-func (r Report) node() string {
-	name, _, _ := strings.Cut(r.ID, idSeparator)
+// reporter returns the name of the node whose report has this ID.
+func reporter(id string) string {
+	name, _, _ := strings.Cut(id, idSeparator)
 	return name
 }
 
--- a/core/process/dogcrash/table.go
+++ b/core/process/dogcrash/table.go
@@ -330,7 +330,7 @@
 	if t.QuarantineRemaining(now, digest) == 0 || t.counts[digest].quarantined(now) {
 		return "", false
 	}
-	return Report{ID: t.counts[digest].testerReport}.node(), true
+	return reporter(t.counts[digest].testerReport), true
 }
 
 // Ask reports whether this node may ask the tester of a content to test it, which it may
