Tests: one fleet with a stale entry for both tests of removals

TestLostRemoval and TestRefusedRemovals built the same one; the first waits 31 s instead of a minute of the paused clock before it, which is past the 30 s after which an entry is stale. TestRequestsAhead waits with eventually. Same assertions.

--- a/io/process/dogsidecar/peers_test.go
+++ b/io/process/dogsidecar/peers_test.go
@@ -28,17 +28,24 @@
 	return fmt.Errorf("delete: %w: %w", dogwoodford.ErrUnavailable, ctx.Err())
 }
 
+// staleState returns the state of a node that knows of five others, one of which has been
+// unreachable for so long that its entry is to be removed.
+func staleState(t *testing.T) *state {
+	s := testState(t, func() int64 { return 1 })
+	for i := range 5 {
+		s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
+	}
+	s.MarkUnreachable("depot-1", true)
+	time.Sleep(31 * time.Second)
+	return s
+}
+
 // TestLostRemoval guards against a node that waits without end for the answer of the store
 // to the removal of an entry, and against one that forgets a node whose entry may still be
 // there: if that node comes back, its entry does not change.
 func TestLostRemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := testState(t, func() int64 { return 1 })
-		for i := range 5 {
-			s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
-		}
-		s.MarkUnreachable("depot-1", true)
-		time.Sleep(time.Minute)
+		s := staleState(t)
 		store := &silentStore{fakeStore: newFakeStore(), silent: true}
 		p := &peers{state: s, store: store, log: s.log}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -65,12 +72,7 @@
 // removal, and against one that no longer tries when the store is well again.
 func TestRefusedRemovals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := testState(t, func() int64 { return 1 })
-		for i := range 5 {
-			s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
-		}
-		s.MarkUnreachable("depot-1", true)
-		time.Sleep(31 * time.Second)
+		s := staleState(t)
 		store := newFakeStore()
 		store.err = dogwoodford.ErrUnavailable
 		p := &peers{state: s, store: store, log: s.log}
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -137,9 +137,7 @@
 	for i, kind := range []string{"idempotent", "idempotent", "non-idempotent"} {
 		fmt.Fprintf(c, "GET /%s/x HTTP/1.1\r\nHost: h\r\n%s: %d\r\n\r\n", kind, testHeaders.Attempt, i)
 	}
-	for end := time.Now().Add(time.Second); guard.target.count() < 2 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(time.Second, func() bool { return guard.target.count() >= 2 })
 	c.Close()
 	time.Sleep(100 * time.Millisecond)
 	guard.target.mu.Lock()
