--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -8,16 +8,15 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sys/unix"
 
 	"dogwoodford/core/connection/dogoutcome"
+	"dogwoodford/internal/dogscript"
 )
 
 // rawServer starts a TCP server that handles each connection with serve, and
@@ -247,25 +246,20 @@
 }
 
 // TestSilentPeers guards against a peer that counts as silent although it acknowledges what
-// it has got, and against waiting for one that does not. Each line of testdata/silence.txt
+// it has got, and against waiting for one that does not. Each line of testdata/silence.txtar
 // has what the kernel tells: milliseconds since the last acknowledgement, unacknowledged
 // segments, unanswered probes, the window in bytes, and milliseconds to the next probe.
 func TestSilentPeers(t *testing.T) {
-	data, err := os.ReadFile("testdata/silence.txt")
-	if err != nil {
+	dogscript.RunLines(t, "testdata/silence.txtar", func() func(*testing.T, []string) string { return judgePeer })
+}
+
+// judgePeer returns whether a peer counts as silent of which the kernel tells words.
+func judgePeer(t *testing.T, words []string) string {
+	t.Helper()
+	info, millis := &unix.TCPInfo{}, uint32(0)
+	if _, err := fmt.Sscan(strings.Join(words, " "), &info.Last_ack_recv, &info.Unacked, &info.Probes, &info.Snd_wnd, &millis); err != nil {
 		t.Fatal(err)
 	}
-	var got strings.Builder
-	for line := range strings.Lines(string(data)) {
-		info, millis := &unix.TCPInfo{}, uint32(0)
-		if _, err := fmt.Sscan(line, &info.Last_ack_recv, &info.Unacked, &info.Probes, &info.Snd_wnd, &millis); err != nil {
-			t.Fatal(err)
-		}
-		info.Rto = 1000 * millis
-		line, _, _ = strings.Cut(line, " ->")
-		fmt.Fprintf(&got, "%s -> silent=%v\n", line, isSilent(info, time.Second))
-	}
-	if diff := cmp.Diff(string(data), got.String()); diff != "" {
-		t.Errorf("mismatch (-want +got):\n%s", diff)
-	}
+	info.Rto = 1000 * millis
+	return fmt.Sprintf("silent=%v", isSilent(info, time.Second))
 }
--- a/io/process/doglag/doglag_test.go
+++ b/io/process/doglag/doglag_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -10,45 +9,39 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"dogwoodford/internal/dogscript"
 )
 
 // TestMonitor guards against a process that does not notice that it is late, or that
-// still counts as late long after it has caught up. Each line of testdata/lags.txt has
+// still counts as late long after it has caught up. Each line of testdata/lags.txtar has
 // how late each measurement ends, or how long a goroutine waited meanwhile (with "wait="),
 // and the lag after each.
 func TestMonitor(t *testing.T) {
-	data, err := os.ReadFile("testdata/lags.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var got strings.Builder
-	for line := range strings.Lines(string(data)) {
-		lates, _, _ := strings.Cut(strings.TrimSpace(line), " -> ")
-		synctest.Test(t, func(*testing.T) {
-			m := New(func(time.Duration) {})
-			got.WriteString(lates + " ->")
-			for late := range strings.FieldsSeq(lates) {
-				text, waited := strings.CutPrefix(late, "wait=")
-				d, err := time.ParseDuration(text)
-				if err != nil {
-					t.Fatal(err)
-				}
-				m.setDue(time.Now())
-				if waited {
-					m.record(time.Now(), d)
-				} else {
-					m.record(time.Now().Add(d), 0)
-				}
-				m.setDue(time.Now().Add(interval))
-				got.WriteString(" " + m.Lag().String())
+	dogscript.RunLines(t, "testdata/lags.txtar", func() func(*testing.T, []string) string { return measure })
+}
+
+// measure returns the lag after each measurement.
+func measure(t *testing.T, lates []string) string {
+	var got []string
+	synctest.Test(t, func(*testing.T) {
+		m := New(func(time.Duration) {})
+		for _, late := range lates {
+			text, waited := strings.CutPrefix(late, "wait=")
+			d, err := time.ParseDuration(text)
+			if err != nil {
+				t.Fatal(err)
 			}
-			got.WriteString("\n")
-		})
-	}
-	if diff := cmp.Diff(string(data), got.String()); diff != "" {
-		t.Errorf("mismatch (-want +got):\n%s", diff)
-	}
+			m.setDue(time.Now())
+			if waited {
+				m.record(time.Now(), d)
+			} else {
+				m.record(time.Now().Add(d), 0)
+			}
+			m.setDue(time.Now().Add(interval))
+			got = append(got, m.Lag().String())
+		}
+	})
+	return strings.Join(got, " ")
 }
 
 // TestOverdueMeasurement guards against a lag that is seen only when it is over.
--- a/io/request/dogrelay/buffers_test.go
+++ b/io/request/dogrelay/buffers_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"runtime"
 	"runtime/metrics"
 	"strings"
@@ -13,9 +12,8 @@
 	"testing/iotest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"dogwoodford/core/process/dogadmit"
+	"dogwoodford/internal/dogscript"
 	"dogwoodford/io/request/doggate"
 )
 
@@ -97,44 +95,41 @@
 }
 
 // TestBufferedBodies guards against bodies that are changed by the bounds of buffers, and
-// against reservations that are not given back. Each line of testdata/buffers.txt has the
+// against reservations that are not given back. Each line of testdata/buffers.txtar has the
 // bound of all buffers, the length of a body, whether it is declared, how much is
 // buffered, whether the rest is streamed, and what is reserved.
 func TestBufferedBodies(t *testing.T) {
-	data, err := os.ReadFile("testdata/buffers.txt")
+	dogscript.RunLines(t, "testdata/buffers.txtar", func() func(*testing.T, []string) string { return bufferBody })
+}
+
+// bufferBody buffers a body and frees it.
+func bufferBody(t *testing.T, words []string) string {
+	t.Helper()
+	var limit int64
+	var length int
+	var declared string
+	if _, err := fmt.Sscan(strings.Join(words, " "), &limit, &length, &declared); err != nil {
+		t.Fatal(err)
+	}
+	want := largeBody[:length]
+	known := int64(length)
+	if declared == "chunked" {
+		known = -1
+	}
+	bs := &buffers{limit: limit}
+	b, err := bs.read(iotest.HalfReader(bytes.NewReader(want)), known)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var got strings.Builder
-	for line := range strings.Lines(string(data)) {
-		var limit int64
-		var length int
-		var declared string
-		if _, err := fmt.Sscan(line, &limit, &length, &declared); err != nil {
-			t.Fatal(err)
-		}
-		want := largeBody[:length]
-		known := int64(length)
-		if declared == "chunked" {
-			known = -1
-		}
-		bs := &buffers{limit: limit}
-		b, err := bs.read(iotest.HalfReader(bytes.NewReader(want)), known)
-		if err != nil {
-			t.Fatal(err)
-		}
-		fmt.Fprintf(&got, "%d %d %s -> %d streamed=%v reserved=%d\n", limit, length, declared, len(b.buffered), b.rest != nil, bs.used.Load())
-		var whole bytes.Buffer
-		if err := b.writeTo(&whole); err != nil || !bytes.Equal(want, whole.Bytes()) {
-			t.Errorf("%sthe body is changed, error %v", line, err)
-		}
-		b.free()
-		b.free()
-		if n := bs.used.Load(); n != 0 {
-			t.Errorf("%s%d bytes are reserved at the end", line, n)
-		}
+	out := fmt.Sprintf("%d streamed=%v reserved=%d", len(b.buffered), b.rest != nil, bs.used.Load())
+	var whole bytes.Buffer
+	if err := b.writeTo(&whole); err != nil || !bytes.Equal(want, whole.Bytes()) {
+		t.Errorf("%s: the body is changed, error %v", words, err)
 	}
-	if diff := cmp.Diff(string(data), got.String()); diff != "" {
-		t.Errorf("mismatch (-want +got):\n%s", diff)
+	b.free()
+	b.free()
+	if n := bs.used.Load(); n != 0 {
+		t.Errorf("%s: %d bytes are reserved at the end", words, n)
 	}
+	return out
 }
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -19,6 +18,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogtree"
 	"dogwoodford/core/request/dogcall"
+	"dogwoodford/internal/dogscript"
 	"dogwoodford/io/connection/dogpipeline"
 )
 
@@ -321,37 +321,32 @@
 // has the scripts of the targets, the retries that the budget permits, whether the first
 // node, which is found to be silent after 50 ms, stays so, and the outcome.
 func TestSilentNodes(t *testing.T) {
-	data, err := os.ReadFile("testdata/silent.txt")
+	dogscript.RunLines(t, "testdata/silent.txtar", func() func(*testing.T, []string) string { return sendToSilent })
+}
+
+// sendToSilent sends a request whose first node is silent.
+func sendToSilent(t *testing.T, w []string) string {
+	t.Helper()
+	entry := newTestNode(t, "entry", "billing", "refuse", 1800*time.Millisecond)
+	var guards []*testNode
+	for _, s := range strings.Split(w[0], ",") {
+		guards = append(guards, newTestNode(t, "guard", "rounds", s, time.Second))
+	}
+	entry.addGuards(guards...)
+	entry.budget, entry.dead = int(w[1][0]-'0'), w[2] == "dead"
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	entry.silence = map[string]context.Context{"node-0": ctx}
+	start := time.Now()
+	status, _, _, err := post(t, entry, "idempotent", "a1", "payload")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var got strings.Builder
-	for line := range strings.Lines(string(data)) {
-		w := strings.Fields(line)
-		entry := newTestNode(t, "entry", "billing", "refuse", 1800*time.Millisecond)
-		var guards []*testNode
-		for _, s := range strings.Split(w[0], ",") {
-			guards = append(guards, newTestNode(t, "guard", "rounds", s, time.Second))
-		}
-		entry.addGuards(guards...)
-		entry.budget, entry.dead = int(w[1][0]-'0'), w[2] == "dead"
-		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-		defer cancel()
-		entry.silence = map[string]context.Context{"node-0": ctx}
-		start := time.Now()
-		status, _, _, err := post(t, entry, "idempotent", "a1", "payload")
-		if err != nil {
-			t.Fatal(err)
-		}
-		fmt.Fprintf(&got, "%s %s %s -> %d", w[0], w[1], w[2], status)
-		for _, g := range guards {
-			fmt.Fprintf(&got, " %d", g.target.count())
-		}
-		fmt.Fprintf(&got, " %s\n", phase(time.Since(start)))
-	}
-	if diff := cmp.Diff(string(data), got.String()); diff != "" {
-		t.Errorf("mismatch (-want +got):\n%s", diff)
+	out := fmt.Sprint(status)
+	for _, g := range guards {
+		out += fmt.Sprintf(" %d", g.target.count())
 	}
+	return out + " " + phase(time.Since(start))
 }
 
 // phase returns when a response of TestSilentNodes came: as soon as a target had answered,
