Workspaces: keys, priorities, and the name that a target gets

Cause: configurations may define workspaces with keys, and the product knew none: keys were passed on to targets, unknown ones were served.

Change: dogtable holds workspaces by the hash of their keys and rejects configurations with a shared key; the entry finds the workspace of a request (401 without one), takes its priority in place of the route's, and replaces both headers on what it forwards. Calls below belong to the workspace of their parent.

--- a/core/version/dogtable/table.go
+++ b/core/version/dogtable/table.go
@@ -57,6 +57,7 @@
 	Priority  int           // 0 is the most important.
 	Attempts  int           // Maximum number of targets that a request is sent to; at least 1.
 	Backends  []Backend
+	Public    bool // Requests need no key, even if there are workspaces.
 	// Unreadable tells that the node does not understand the definition. Only
 	// Name, Host and Prefix are set then, and no request of the route is sent.
 	Unreadable bool
@@ -105,6 +106,9 @@
 // the slice.
 func (r *Route) Backends() []Backend { return r.spec.Backends }
 
+// Public reports whether requests need no key, even if there are workspaces.
+func (r *Route) Public() bool { return r.spec.Public }
+
 // Limits holds the limits on callers' requests and connections.
 type Limits struct {
 	HeaderBytes   int
@@ -122,20 +126,23 @@
 
 // Spec is the definition of a Table.
 type Spec struct {
-	Version  int64
-	Routes   []RouteSpec
-	Services []Service
-	Limits   Limits
-	Problems []Problem // What was left out or replaced, for the operator.
+	Version    int64
+	Routes     []RouteSpec
+	Services   []Service
+	Limits     Limits
+	Workspaces []WorkspaceSpec
+	Problems   []Problem // What was left out or replaced, for the operator.
 }
 
 // Table is one version of the routing table. It is immutable and safe for
 // concurrent use.
 type Table struct {
-	version  int64
-	hosts    map[string][]*Route // Longest prefix first.
-	services map[string]Service
-	limits   Limits
+	version    int64
+	hosts      map[string][]*Route // Longest prefix first.
+	services   map[string]Service
+	limits     Limits
+	workspaces map[string]*Workspace // By name.
+	keys       map[keyHash]*Workspace
 }
 
 // New validates spec and returns its table. Errors wrap ErrTable; those about a
@@ -148,6 +155,9 @@
 	if spec.Version < 1 {
 		return nil, fmt.Errorf("version %d: %w", spec.Version, ErrTable)
 	}
+	if err := t.addWorkspaces(spec.Workspaces); err != nil {
+		return nil, err
+	}
 	for _, s := range spec.Services {
 		t.services[s.Name] = s
 	}
--- a/io/process/dogsidecar/settings.go
+++ b/io/process/dogsidecar/settings.go
@@ -31,6 +31,16 @@
 	RetrySlack  float64       // Retries in addition to the ratio, per window, of all nodes together.
 	RetryWindow time.Duration // Sliding window over which both are counted.
 
+	// KeyLifetime is the time for which the keys of a configuration are trusted after a
+	// moment at which it is known to have been the newest; 0 means without a bound.
+	KeyLifetime time.Duration
+
+	QuotaWindow  time.Duration // Sliding window over which the quotas of workspaces hold; 0 if there are none.
+	QuotaOverage float64       // Share of a quota by which it may be exceeded in a window.
+	QuotaSlack   float64       // Requests by which a quota may be exceeded in addition.
+	// Messages is the UDP address for messages between nodes; empty if there is none.
+	Messages string
+
 	Grace       time.Duration // Time from the stop signal to the kill.
 	MemoryBytes int64         // Memory limit of the process, at which it is killed; 0 if unknown.
 }
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -31,12 +31,16 @@
 	// tester is the only node that the call may be sent to, if not empty: it decides
 	// whether to test the content, which is quarantined.
 	tester string
+	// hidesKeys tells that the configuration has workspaces, so that neither a key nor the
+	// name of a workspace that the caller sent is forwarded.
+	hidesKeys bool
 }
 
 // request returns the description of c for admission and routing.
 func (c *call) request() dogwoodford.Request {
 	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
 		ID: c.id, Root: c.lineage.root, Service: c.service, Class: c.lineage.class, Hop: c.lineage.hop,
+		Workspace:  c.lineage.workspace,
 		Importance: max(0, dogwoodford.MaxImportance-c.lineage.priority),
 		Idempotent: c.kind.Repeatable(),
 		Deadline:   c.deadline, Attempt: c.attempt, ContentSize: c.body.length,
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -29,6 +29,27 @@
 	Caller         string // Service of the local target of the entry.
 	Rate           string // Requests per second that a target takes from all nodes.
 	Leaving        string // Present if a target takes no new requests.
+	Key            string // Key of the caller's workspace; never forwarded.
+	Workspace      string // Name of the caller's workspace, for the target.
+}
+
+// Keys knows whether the keys of the configuration in force may be trusted.
+// Implementations are safe for concurrent use.
+type Keys interface {
+	// Trusted reports whether no key of the configuration in force can have been revoked
+	// for longer than permitted.
+	Trusted() bool
+}
+
+// Quotas holds this node's part of the quotas of workspaces. Implementations are safe for
+// concurrent use.
+type Quotas interface {
+	// Take takes a token of a workspace for one request. It may wait for a message of
+	// another node, some tens of milliseconds at most. Without a token it returns false
+	// and when the caller should come back.
+	Take(ctx context.Context, w *dogtable.Workspace) (retryAfter time.Duration, ok bool)
+	// Return gives back the token of a request that has not run.
+	Return(w *dogtable.Workspace)
 }
 
 // Fleet is the view of the other nodes, which the relay reads and updates.
@@ -154,7 +175,8 @@
 }
 
 // Config holds the settings and components of a relay. All are required, except
-// that the bounds may be 0.
+// that the bounds may be 0, and Keys and Quotas may be nil: keys are then trusted always,
+// and quotas do not hold.
 type Config struct {
 	Headers       Headers
 	Node          string
@@ -170,6 +192,8 @@
 	Crashes       Crashes
 	Pressure      Pressure
 	Trees         Trees
+	Keys          Keys
+	Quotas        Quotas
 	Gate          *doggate.Gate
 	Router        *doggate.Balancer
 	Peers         *dogconn.Transport
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -64,6 +64,10 @@
 	if refusal != nil {
 		return refusal, nil
 	}
+	w, refusal := h.identify(table, route, r, parent)
+	if refusal != nil {
+		return refusal, nil
+	}
 	timeout := h.timeout(route, r)
 	if refusal := h.refuseByTime(parent, start, timeout, lag); refusal != nil {
 		return refusal, nil
@@ -83,9 +87,9 @@
 	}
 	c := &call{
 		id: r.Header.Get(h.cfg.Headers.Attempt), service: h.cfg.Split.Choose(route), caller: h.cfg.Service,
-		kind: route.Kind(), source: r, body: b, deadline: start.Add(timeout),
+		kind: route.Kind(), source: r, body: b, deadline: start.Add(timeout), hidesKeys: table.HasWorkspaces(),
 	}
-	c.lineage = lineageOf(c, route, parent)
+	c.lineage = lineageOf(c, route, w, parent)
 	c.content = contentOf(c.caller, sharedDigest(r, b))
 	c.cleared = h.cfg.Crashes.HasCompleted(c.content)
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 {
@@ -97,7 +101,7 @@
 		c.cleared = false
 	}
 	ctx, cancel := h.withDeadline(ctx, c.deadline.Add(answerGrace-lag))
-	res := h.admitAndSend(ctx, c, route, parent)
+	res := h.admitAndSend(ctx, c, route, w, parent)
 	if res.completed() {
 		h.cfg.Crashes.RecordCompletion(c.content)
 	}
@@ -144,11 +148,14 @@
 }
 
 // lineageOf returns the lineage of a child call of parent, or of a request of a
-// caller if parent is nil.
-func lineageOf(c *call, route *dogtable.Route, parent *run) lineage {
-	if parent == nil {
+// caller of workspace w, which may be nil, if parent is nil.
+func lineageOf(c *call, route *dogtable.Route, w *dogtable.Workspace, parent *run) lineage {
+	if parent == nil && w == nil {
 		return lineage{root: c.id, class: route.Name(), priority: route.Priority()}
 	}
+	if parent == nil {
+		return lineage{root: c.id, class: route.Name(), priority: w.Priority(route.Priority()), workspace: w.Name()}
+	}
 	l := parent.lineage
 	l.hop++
 	return l
@@ -157,7 +164,7 @@
 // admitAndSend sends a call, or refuses it because of overload downstream. Only
 // requests of callers are refused: refusing a child call would waste the work
 // that was already done for its parent.
-func (h *Handlers) admitAndSend(ctx context.Context, c *call, route *dogtable.Route, parent *run) *result {
+func (h *Handlers) admitAndSend(ctx context.Context, c *call, route *dogtable.Route, w *dogtable.Workspace, parent *run) *result {
 	v := h.cfg.Pressure.Admit(c.request())
 	if parent == nil {
 		if v.Action() == dogwoodford.Refuse {
@@ -166,8 +173,13 @@
 		if retryAfter, ok := h.cfg.Trees.MayStart(h.treeRequest(c)); !ok {
 			return refused(dogwoodford.ReasonDownstream, retryAfter)
 		}
+		if refusal := h.takeQuota(ctx, w); refusal != nil {
+			return refusal
+		}
 		h.cfg.Budget.RecordFirst(c.service)
-		return h.sendWithRetries(ctx, c, route)
+		res := h.sendWithRetries(ctx, c, route)
+		h.settleQuota(w, res)
+		return res
 	}
 	if c.lineage.retried {
 		h.cfg.Budget.RecordInducedRetry(c.service)
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -34,7 +34,7 @@
 
 var testHeaders = Headers{
 	Attempt: "X-Attempt", Deadline: "X-Left", Seal: "X-Seal", ExpectInstance: "X-Expect",
-	NotExecuted: "X-Not-Run", Caller: "X-Caller", Rate: "X-Rate", Leaving: "X-Leaving",
+	NotExecuted: "X-Not-Run", Caller: "X-Caller", Rate: "X-Rate", Leaving: "X-Leaving", Key: "X-Key", Workspace: "X-Workspace",
 }
 
 // fakeTarget answers every request as its script specifies.
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -163,6 +163,7 @@
 	out.Header[h.cfg.Headers.Deadline] = []string{strconv.FormatInt(max(1, c.remainingMillis(time.Now())), 10)}
 	out.Header[h.cfg.Headers.ExpectInstance] = []string{t.ID}
 	out.Header[h.cfg.Headers.Caller] = []string{c.caller}
+	h.formatWorkspace(out.Header, c)
 	h.cfg.Crashes.DispatchStarted(c.id, c.content)
 	resp, stage, err := h.cfg.Target.Do(out)
 	if err != nil {
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -155,6 +155,7 @@
 	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
 		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, escapeField(c.lineage.class), h.cfg.Peer,
 		escapeField(c.service), escapeField(c.caller))}
+	h.formatWorkspace(out, c)
 	if c.cleared {
 		out[headerCleared] = []string{"1"}
 	}
@@ -173,7 +174,7 @@
 	return &call{
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
-		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0},
+		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r)},
 		content: contentOf(f[3], uint64(n[7])), cleared: r.Header.Get(headerCleared) != "",
 	}, nil
 }
--- a/io/request/dogrelay/header_test.go
+++ b/io/request/dogrelay/header_test.go
@@ -116,7 +116,7 @@
 func FuzzParseCall(f *testing.F) {
 	f.Add("1 1 300 1 2 0 0 9 sheet 10.0.0.1:1 rounds billing")
 	f.Add("")
-	h := New(Config{Headers: testHeaders, Fleet: &fakeDeps{}})
+	h := New(Config{Headers: testHeaders, Fleet: &fakeDeps{}, Tables: new(dogtable.Holder)})
 	f.Fuzz(func(_ *testing.T, text string) {
 		r := &http.Request{Header: http.Header{headerCall: {text}}}
 		if c, err := h.parseCall(r, time.Now()); err == nil {
--- a/io/request/dogrelay/registry.go
+++ b/io/request/dogrelay/registry.go
@@ -35,9 +35,11 @@
 type lineage struct {
 	root     string // ID of the caller's request at the root of the call tree.
 	class    string // Name of the route of the root request.
-	priority int    // Priority of that route; 0 is the most important.
+	priority int    // Priority of the workspace, or else of that route; 0 is the most important.
 	hop      int    // Depth in the call tree; 0 for requests of callers.
 	retried  bool   // This request or an ancestor was sent to a target before.
+	// workspace is the name of the caller's workspace, empty if it needs none.
+	workspace string
 }
 
 func newRegistry() *registry { return &registry{running: make(map[string]*run)} }
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -222,7 +222,7 @@
 	c := &call{id: "a1.c1"}
 	route, _ := table(t, time.Second).Lookup("h", "/idempotent/x")
 	want := lineage{root: "a1", class: "sheet", priority: 0, hop: 1, retried: true}
-	got := lineageOf(c, route, n.relay.running.parent(c.id))
+	got := lineageOf(c, route, nil, n.relay.running.parent(c.id))
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(lineage{})); diff != "" {
 		t.Errorf("lineage of the call (-want +got):\n%s", diff)
 	}
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -92,6 +92,10 @@
 		return http.StatusRequestEntityTooLarge
 	case r.reason == dogwoodford.ReasonBadRequest:
 		return http.StatusBadRequest
+	case r.reason == dogwoodford.ReasonCredential:
+		return http.StatusUnauthorized
+	case r.reason == dogwoodford.ReasonQuota:
+		return http.StatusTooManyRequests
 	case r.outcome == dogwoodford.OutcomeNotRun:
 		return http.StatusServiceUnavailable
 	case r.reason == dogwoodford.ReasonDeadline, ctx.Err() == context.DeadlineExceeded:
@@ -110,7 +114,7 @@
 		out[dogcall.HeaderOutcome] = []string{r.outcome.String()}
 		out[dogcall.HeaderReason] = []string{string(r.reason)}
 		status := r.errorStatus(ctx)
-		if status == http.StatusServiceUnavailable {
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 			out["Retry-After"] = []string{seconds(r.retryAfter)}
 		}
 		out["Content-Length"] = []string{"0"}
--- a/outcome.go
+++ b/outcome.go
@@ -75,4 +75,6 @@
 	ReasonTargetShed  Reason = "target-shed" // The target reported that it did not run the request.
 	ReasonBadAnswer   Reason = "bad-answer"  // The response was incomplete or did not come from the target itself.
 	ReasonNoRoute     Reason = "no-route"    // No route matches host and path.
+	ReasonQuota       Reason = "quota"       // The workspace has used up its quota.
+	ReasonStaleKeys   Reason = "stale-keys"  // The node does not know whether its keys are still valid.
 )
--- a/request.go
+++ b/request.go
@@ -47,6 +47,7 @@
 	Customer    string    // Customer that the contract belongs to.
 	Service     string    // Service that is called.
 	Class       string    // Class of the contract.
+	Workspace   string    // Workspace of the caller of the root request; empty if there is none.
 	Importance  int       // Importance of the root class, 0 to MaxImportance.
 	Idempotent  bool      // Whether the call may run more than once.
 	Key         Key       // Key of a non-idempotent call; zero otherwise.
@@ -87,6 +88,10 @@
 // Class returns the class of the contract.
 func (r Request) Class() string { return r.spec.Class }
 
+// Workspace returns the workspace of the caller of the root request, empty if there is
+// none.
+func (r Request) Workspace() string { return r.spec.Workspace }
+
 // Importance returns the importance of the root class.
 func (r Request) Importance() int { return r.spec.Importance }
 
