--- a/core/request/dogroute/completed.go
+++ b/core/request/dogroute/completed.go
@@ -1,7 +1,5 @@
 package dogroute
 
-import "hash/fnv"
-
 // completedSet is a bounded set of digests of completed content. It keeps two
 // generations and drops the previous one when the current one is full, so a
 // digest in use stays in the set.
@@ -31,16 +29,3 @@
 	}
 	k.current[d] = struct{}{}
 }
-
-// score is the rendezvous hash of a digest and a node name. The finalizer is
-// that of SplitMix64.
-func score(digest uint64, name string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	x := h.Sum64() ^ digest
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/core/request/dogroute/rendezvous.go
+++ b/core/request/dogroute/rendezvous.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/request/dogdigest"
 )
 
 // minUnreachableNodes is the number of nodes of a data centre that must fail,
@@ -90,7 +91,7 @@
 		if t.Service != r.Service() || unreachable[t.DataCentre] || !rt.present(now, t) {
 			continue
 		}
-		s := score(r.Digest(), t.Node)
+		s := dogdigest.Score(r.Digest(), t.Node)
 		switch {
 		case names[0] == "" || s > scores[0]:
 			names[1], scores[1] = names[0], scores[0]
