Quotas: lend tokens between nodes by UDP

The entry takes a token for each request of a limited workspace. With a quota window and a port for messages in the settings, a node asks the lender of the workspace by one datagram for all that wait, and answers the asks of others; otherwise no socket is opened. Who lends depends on which processes answer, not on which targets accept requests: nodes probe a lender that does not answer, and all of its data centre if it is silent, as the share of the rate that a partitioned node lends depends on how many it cannot reach.

Tests with two nodes over loopback: a quota over both, returned tokens, a lender that is gone, datagrams of strangers.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -69,6 +69,7 @@
 	members       map[string]*member
 	targets       []dogwoodford.Target // Cached result of Targets; nil after a change.
 	targetsExpiry time.Time            // Expiry of targets.
+	generation    uint64               // Number of changes of the result of Members.
 }
 
 // member is the state of one node.
@@ -105,6 +106,9 @@
 	}
 	m.entry, m.version = e, version
 	f.targets = nil
+	if isNew {
+		f.generation++
+	}
 	if isNew && e.Peer != "" {
 		f.supersede(now, m)
 	}
@@ -132,6 +136,7 @@
 	if m := f.members[name]; m != nil && version > m.version {
 		delete(f.members, name)
 		f.targets = nil
+		f.generation++
 	}
 }
 
@@ -142,6 +147,7 @@
 		if !slices.Contains(names, name) {
 			delete(f.members, name)
 			f.targets = nil
+			f.generation++
 		}
 	}
 }
@@ -167,6 +173,9 @@
 		return false
 	}
 	first := m.down.IsZero()
+	if silent != (m.silent && !first) {
+		f.generation++
+	}
 	if first {
 		m.down, m.backoff = now, minBackoff
 		f.targets = nil
@@ -187,6 +196,9 @@
 	}
 	m.down = time.Time{}
 	f.targets = nil
+	if m.silent {
+		f.generation++
+	}
 	return true
 }
 
@@ -287,5 +299,23 @@
 	return out
 }
 
+// Member is what is known of one node.
+type Member struct {
+	Node, DataCentre, Peer string
+	Silent                 bool // See Fleet.Silent.
+}
+
+// Members returns all known nodes, in no particular order.
+func (f *Fleet) Members() []Member {
+	out := make([]Member, 0, len(f.members))
+	for name, m := range f.members {
+		out = append(out, Member{Node: name, DataCentre: m.entry.DataCentre, Peer: m.entry.Peer, Silent: f.Silent(name)})
+	}
+	return out
+}
+
+// Generation returns a number that changes whenever the result of Members does.
+func (f *Fleet) Generation() uint64 { return f.generation }
+
 // Names returns the sorted names of all known nodes.
 func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.members)) }
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -187,3 +187,31 @@
 		t.Errorf("due %v, pending %v without requests in progress", got, pending)
 	}
 }
+
+// TestGeneration guards against users of Members who miss a change, or look again without
+// one for each change of a target's state.
+func TestGeneration(t *testing.T) {
+	f := New()
+	now := time.Unix(0, 0)
+	for i, tc := range []struct {
+		change func()
+		want   bool
+	}{
+		{func() { f.Put(now, Entry{Node: "a", Peer: "1"}, 1) }, true},
+		{func() { f.Put(now, Entry{Node: "a", Peer: "1", State: dogwoodford.StateReady}, 2) }, false},
+		{func() { f.MarkUnreachable(now, "a", false) }, false},
+		{func() { f.MarkUnreachable(now, "a", true) }, true},
+		{func() { f.MarkUnreachable(now, "a", true) }, false},
+		{func() { f.MarkReachable("a") }, true},
+		{func() { f.MarkUnreachable(now, "a", false) }, false},
+		{func() { f.MarkReachable("a") }, false},
+		{func() { f.Put(now, Entry{Node: "a", Peer: "2"}, 3) }, true},
+		{func() { f.Retain([]string{"a"}) }, false},
+		{func() { f.Remove("a", 4) }, true},
+	} {
+		before := f.Generation()
+		if tc.change(); (f.Generation() != before) != tc.want {
+			t.Errorf("step %d: generation %d after %d, want a change: %v", i, f.Generation(), before, tc.want)
+		}
+	}
+}
--- a/core/process/dogquota/borrower.go
+++ b/core/process/dogquota/borrower.go
@@ -18,7 +18,7 @@
 	lateAnswer = 250 * time.Millisecond
 	// lostRetry is the time after which a node asks a lender again that has not
 	// answered.
-	lostRetry = 500 * time.Millisecond
+	lostRetry = 250 * time.Millisecond
 	// returnLifetime is the time for which a node keeps the token of a request that has
 	// not run. It is short, because the token may be from an earlier window.
 	returnLifetime = 500 * time.Millisecond
--- a/core/process/dogquota/message.go
+++ b/core/process/dogquota/message.go
@@ -63,7 +63,7 @@
 		if m.Kind == KindAnswer {
 			buf = append(buf, flagByte(it.Grant.Redirected))
 			buf = binary.AppendUvarint(buf, uint64(min(it.Grant.Tokens, maxCount)))
-			buf = binary.AppendUvarint(buf, uint64(it.Grant.RetryAfter.Milliseconds()))
+			buf = binary.AppendUvarint(buf, uint64(min(it.Grant.RetryAfter.Milliseconds(), maxCount)))
 			continue
 		}
 		buf = binary.BigEndian.AppendUint64(buf, it.Workspace)
--- a/core/process/dogquota/message_test.go
+++ b/core/process/dogquota/message_test.go
@@ -31,6 +31,10 @@
 	for i := range full.Items {
 		full.Items[i] = Item{Workspace: 1<<64 - 1, Waiting: 1 << 30, Recent: 1 << 30}
 	}
+	long := Message{Kind: KindAnswer, Items: []Item{{Grant: Grant{RetryAfter: time.Hour}}}}
+	if _, err := ParseMessage(long.Append(nil)); err != nil {
+		t.Errorf("an answer with a long hint: %v", err)
+	}
 	if n := len(full.Append(nil)); n > MaxMessageBytes {
 		t.Errorf("the longest message has %d bytes, want at most %d", n, MaxMessageBytes)
 	}
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -131,6 +131,9 @@
 	return r
 }
 
+// Lender returns the node that lends the tokens of the named workspace.
+func (n *Node) Lender(workspace string) string { return n.ranking(WorkspaceID(workspace)).First }
+
 // Take takes a token for a request of a workspace. The caller sends what Flush returns,
 // also if the request is not to wait.
 func (n *Node) Take(now time.Time, w Workspace) Decision {
--- a/core/version/dogtable/workspace.go
+++ b/core/version/dogtable/workspace.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"iter"
+	"maps"
 	"math"
 )
 
@@ -128,3 +130,6 @@
 	w, ok := t.workspaces[name]
 	return w, ok
 }
+
+// Workspaces returns all workspaces.
+func (t *Table) Workspaces() iter.Seq[*Workspace] { return maps.Values(t.workspaces) }
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -130,4 +130,6 @@
 	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 	ConfigPartlyRead  = define(1818, "config-partly-read", slog.LevelError)
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
+	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
+	LenderBack        = define(1831, "lender-back", slog.LevelInfo)
 )
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -46,6 +46,13 @@
 	QuarantinesHeld = define("quarantines_held", Gauge, "digests")
 )
 
+// Metrics of the quotas of workspaces.
+var (
+	QuotaRequests = define("quota_requests", Labelled, "result")
+	QuotaMessages = define("quota_messages", Labelled, "kind")
+	QuotaBytes    = define("quota_bytes", Counter, "bytes")
+)
+
 // Metrics of key ranges.
 var (
 	RangesOwned      = define("ranges_owned", Gauge, "ranges")
--- a/io/process/dogsidecar/lag.go
+++ b/io/process/dogsidecar/lag.go
@@ -6,6 +6,7 @@
 	"runtime/metrics"
 	"time"
 
+	"dogwoodford/core/process/dogquota"
 	"dogwoodford/io/process/doglag"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
@@ -27,6 +28,9 @@
 	var logged time.Time
 	return doglag.New(func(lag time.Duration) {
 		n.metrics.Observe(dogmetric.SchedulingLag, lag)
+		if n.quotas != nil && lag >= settlingLag {
+			n.quotas.settle(dogquota.SettleTime)
+		}
 		if now := time.Now(); lag >= loggedLag && now.Sub(logged) >= lagLogInterval {
 			logged = now
 			n.log.event(doglog.NodeLagging, append(n.progress.attrs(now), lagAttrs(lag)...)...)
--- /dev/null
+++ b/io/process/dogsidecar/quota_test.go
@@ -0,0 +1,251 @@
+package dogsidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/core/process/dogquota"
+	"dogwoodford/core/version/dogtable"
+	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/process/dogmetric"
+)
+
+// quotaFleet is a fleet of nodes on loopback addresses that share the port of messages.
+type quotaFleet struct {
+	port   int
+	tables *dogtable.Holder
+	nodes  []*quotas
+}
+
+func quotaTable(t testing.TB, version int64, rate, burst float64) *dogtable.Table {
+	t.Helper()
+	table, err := dogtable.New(dogtable.Spec{
+		Version: version,
+		Workspaces: []dogtable.WorkspaceSpec{
+			{Name: "north", Keys: []string{"n"}, Rate: rate, Burst: burst},
+			{Name: "south", Keys: []string{"s"}, Rate: rate, Burst: burst},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func freeUDPPort(t testing.TB) int {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+// newQuotaFleet starts n nodes that have settled and know each other.
+func newQuotaFleet(t testing.TB, n int, rate, burst float64) *quotaFleet {
+	t.Helper()
+	f := &quotaFleet{port: freeUDPPort(t), tables: new(dogtable.Holder)}
+	f.tables.Offer(quotaTable(t, 1, rate, burst))
+	for i := range n {
+		f.nodes = append(f.nodes, f.start(t, i, n))
+	}
+	return f
+}
+
+func quotaEntry(i int) dogfleet.Entry {
+	return dogfleet.Entry{
+		Node: fmt.Sprintf("rounds-%d", i), Service: "rounds", DataCentre: "a", Slots: 4,
+		Peer: fmt.Sprintf("127.0.0.%d:9", i+1),
+	}
+}
+
+func (f *quotaFleet) start(t testing.TB, i, n int) *quotas {
+	t.Helper()
+	s := testSettings()
+	s.Node, s.QuotaWindow, s.QuotaOverage, s.QuotaSlack = quotaEntry(i).Node, 5*time.Second, 0.1, 20
+	s.Messages = fmt.Sprintf("127.0.0.%d:%d", i+1, f.port)
+	log := newLogger(io.Discard, s.Node)
+	t.Cleanup(log.close)
+	st := newState(s, log, func() int64 { return 1 })
+	for j := range n {
+		st.put(quotaEntry(j), 1)
+	}
+	st.setListed()
+	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout})
+	q := newQuotas(&node{
+		settings: s, state: st, log: log, metrics: dogmetric.NewSet(), peers: &peers{transport: transport, state: st},
+	}, f.tables)
+	if err := q.listen(); err != nil {
+		t.Fatal(err)
+	}
+	q.settle(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- q.serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return q
+}
+
+func (f *quotaFleet) workspace(name string) *dogtable.Workspace {
+	w, _ := f.tables.Table().WorkspaceNamed(name)
+	return w
+}
+
+// messagesOf returns the number of messages of a kind at a node.
+func messagesOf(q *quotas, kind string) int64 {
+	return q.metrics.ValueOf(dogmetric.QuotaMessages, kind)
+}
+
+// TestQuotaOverNodes guards against a quota that each node grants on its own, and against
+// a node that lends no tokens to another one.
+func TestQuotaOverNodes(t *testing.T) {
+	f := newQuotaFleet(t, 2, 0.001, 40)
+	granted := make([]int, 2)
+	for range 100 {
+		for i, q := range f.nodes {
+			if _, ok := q.Take(t.Context(), f.workspace("north")); ok {
+				granted[i]++
+			}
+		}
+	}
+	// A bucket starts with a quarter of what the window may exceed the quota by: 6.
+	if sum := granted[0] + granted[1]; sum != 6 || granted[0] == 0 || granted[1] == 0 {
+		t.Errorf("%v requests granted, want 6 in all and some at each node", granted)
+	}
+	if sent := messagesOf(f.nodes[0], "ask") + messagesOf(f.nodes[1], "ask"); sent > 10 {
+		t.Errorf("%d messages for 200 requests, want at most 10: nodes refuse by themselves until the hint", sent)
+	}
+}
+
+// TestQuotaReturn guards against tokens of requests that have not run that are lost.
+func TestQuotaReturn(t *testing.T) {
+	f := newQuotaFleet(t, 2, 0.001, 40)
+	w := f.workspace("north")
+	for range 50 {
+		for _, q := range f.nodes {
+			if _, ok := q.Take(t.Context(), w); ok {
+				q.Return(w)
+			}
+		}
+		time.Sleep(time.Millisecond) // A return takes as long as a message.
+	}
+	for _, q := range f.nodes {
+		if n := q.metrics.ValueOf(dogmetric.QuotaRequests, quotaRefused); n > 5 {
+			t.Errorf("%d of 50 requests refused although none has run", n)
+		}
+	}
+}
+
+// TestQuotaLenderLost guards against requests that wait long for a lender that is gone, and
+// against a node that lends nothing after it has taken over.
+func TestQuotaLenderLost(t *testing.T) {
+	f := newQuotaFleet(t, 2, 1000, 1000)
+	w := f.workspace("north")
+	f.nodes[0].mu.Lock()
+	lender := f.nodes[0].node.Lender(w.Name())
+	f.nodes[0].mu.Unlock()
+	borrower := f.nodes[0]
+	if lender == borrower.settings.Node {
+		borrower = f.nodes[1]
+	}
+	for _, q := range f.nodes {
+		if q != borrower {
+			_ = q.conn.Close() // Its peer address refuses connections, too.
+		}
+	}
+	start := time.Now()
+	borrower.Take(t.Context(), w)
+	if d := time.Since(start); d > 10*dogquota.AnswerTimeout {
+		t.Errorf("a request waited %v for a lender that is gone", d)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for n := 0; n < 100; {
+		if _, ok := borrower.Take(t.Context(), w); ok {
+			n++
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no tokens after the takeover")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestQuotaDatagrams guards against datagrams of strangers, or malformed ones, that stop
+// or drain the node.
+func TestQuotaDatagrams(t *testing.T) {
+	f := newQuotaFleet(t, 2, 0.001, 40)
+	addr := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: f.port}
+	ask := dogquota.Message{Kind: dogquota.KindAsk, Items: []dogquota.Item{{Workspace: dogquota.WorkspaceID("north"), Waiting: 40}}}
+	stranger, err := net.DialUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 77)}, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stranger.Close() }()
+	for range 10 {
+		_, _ = stranger.Write(ask.Append(nil))
+		_, _ = stranger.Write([]byte(strings.Repeat("x", 3000)))
+	}
+	if _, err := f.nodes[1].conn.WriteTo([]byte("no message"), addr); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for messagesOf(f.nodes[0], quotaStranger) < 20 || messagesOf(f.nodes[0], quotaMalformed) < 1 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d datagrams of strangers and %d malformed ones counted, want 20 and 1",
+				messagesOf(f.nodes[0], quotaStranger), messagesOf(f.nodes[0], quotaMalformed))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if _, ok := f.nodes[0].Take(t.Context(), f.workspace("north")); !ok {
+		t.Error("a stranger has used up the quota")
+	}
+}
+
+// TestNoQuotas guards against a socket that a deployment without quotas does not need.
+func TestNoQuotas(t *testing.T) {
+	s := testSettings()
+	s.Messages = "127.0.0.1:1"
+	if q := newQuotas(&node{settings: s}, nil); q != nil {
+		t.Error("quotas without a window")
+	}
+	s.Messages, s.QuotaWindow = "", time.Second
+	if q := newQuotas(&node{settings: s}, nil); q != nil {
+		t.Error("quotas without an address")
+	}
+}
+
+// BenchmarkTake measures a request whose node has a token in hand, and one that asks
+// another node.
+func BenchmarkTake(b *testing.B) {
+	f := newQuotaFleet(b, 2, 1e9, 1e9)
+	for _, name := range []string{"north", "south"} {
+		w := f.workspace(name)
+		f.nodes[0].mu.Lock()
+		lender := f.nodes[0].node.Lender(name)
+		f.nodes[0].mu.Unlock()
+		for _, q := range f.nodes {
+			kind := "borrower"
+			if q.settings.Node == lender {
+				kind = "lender"
+			}
+			b.Run(name+"/"+kind, func(b *testing.B) {
+				for b.Loop() {
+					if _, ok := q.Take(b.Context(), w); !ok {
+						b.Fatal("refused")
+					}
+				}
+				b.ReportMetric(float64(messagesOf(q, "ask"))/float64(b.N), "asks/op")
+			})
+		}
+	}
+}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -80,6 +80,7 @@
 	store          dogwoodford.Store
 	progress       *progress
 	lag            *doglag.Monitor
+	quotas         *quotas // Nil if the settings have none.
 	settingsSource SettingsSource
 	servers        []*dogserve.Server
 	requestServers []*dogserve.Server // Those of servers that take requests of callers and other nodes.
@@ -139,6 +140,7 @@
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
 	n.state.setSlots = gate.SetSlots
+	n.quotas = newQuotas(n, tables)
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
@@ -146,7 +148,7 @@
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{
 			Rand: newRand(), UseMean: true, Refresh: cutoffRefreshInterval, RetryByRefusalShare: true,
 		})},
-		Trees: newTrees(),
+		Trees: newTrees(), Quotas: n.relayQuotas(),
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
 		})),
@@ -235,7 +237,20 @@
 	return !n.state.stopping() && n.configs.tables.Table() != nil && !n.state.isolated()
 }
 
+// relayQuotas returns the quotas of the relay, nil if there are none.
+func (n *node) relayQuotas() dogrelay.Quotas {
+	if n.quotas == nil {
+		return nil
+	}
+	return n.quotas
+}
+
 func (n *node) listen() error {
+	if n.quotas != nil {
+		if err := n.quotas.listen(); err != nil {
+			return err
+		}
+	}
 	for _, s := range n.servers {
 		if err := s.Listen(); err != nil {
 			return err
@@ -263,6 +278,9 @@
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
 	sup.Add(dogserve.Func("reload", n.reload))
 	sup.Add(n.lag)
+	if n.quotas != nil {
+		sup.Add(dogserve.Func("quotas", n.quotas.serve))
+	}
 	for _, s := range n.servers {
 		sup.Add(s)
 	}
--- a/io/process/dogsidecar/stop.go
+++ b/io/process/dogsidecar/stop.go
@@ -24,12 +24,18 @@
 	stepShutDown    = "shut-down"
 )
 
+// stopSettleTime is the time beyond the end of a stop for which a node lends no tokens.
+const stopSettleTime = time.Minute
+
 // stop drains the node: it reports the node as not ready, then as draining, so that
 // callers and other nodes use others, and waits for the requests in progress as long as
 // the grace period permits. Nothing else holds it up: neither the store nor a client.
 func (n *node) stop(ctx context.Context) {
 	plan := dogstop.NewPlan(time.Now(), n.state.grace())
 	n.state.beginStop(plan)
+	if n.quotas != nil {
+		n.quotas.settle(time.Until(plan.End()) + stopSettleTime)
+	}
 	n.log.event(doglog.NodeDraining, n.progress.attrs(time.Now())...)
 	dogserve.Sleep(ctx, time.Until(plan.GuardClose()))
 	n.state.wakeAnnouncer()
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -119,3 +119,26 @@
 		},
 	}
 }
+
+// members returns all known nodes.
+func (s *state) members() []dogfleet.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Members()
+}
+
+// fleetGeneration returns a number that changes with the result of members, and whether
+// the entries were listed from the store.
+func (s *state) fleetGeneration() (generation uint64, listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Generation(), s.listed
+}
+
+// knownEntry returns the entry of a node.
+func (s *state) knownEntry(name string) (dogfleet.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, _, ok := s.fleet.Entry(name)
+	return e, ok
+}
