Quotas: no lending after a pause of the process or the machine

Others may have chosen another lender meanwhile, whose bucket counts as well. A pause shows in the lag of the process, or, if the machine was suspended, as a difference between CLOCK_BOOTTIME and the clock of the runtime.

--- a/core/process/dogquota/borrower.go
+++ b/core/process/dogquota/borrower.go
@@ -118,6 +118,13 @@
 // SetNodes sets the number of known nodes, by which the fallback buckets are sized.
 func (b *Borrower) SetNodes(n int) { b.nodes = max(1, n) }
 
+// dropTokens drops all tokens in hand, as they may be from an earlier window.
+func (b *Borrower) dropTokens() {
+	for _, a := range b.accounts {
+		a.hand = nil
+	}
+}
+
 // Retain drops the workspaces for which keep returns false and no request waits.
 func (b *Borrower) Retain(keep func(workspace uint64) bool) {
 	for id, a := range b.accounts {
--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -25,6 +25,9 @@
 	// rate. Nodes that do not know of it yet use their fallback buckets, which have the
 	// other half.
 	takeoverTime = time.Second
+	// partitionedShare is the share of nodes that can be reached below which the others
+	// may have used a burst of their own.
+	partitionedShare = 0.9
 	// maxAskers bounds the nodes that are counted while tokens are short.
 	maxAskers = 1024
 )
@@ -81,12 +84,12 @@
 
 // SetShare sets the share of the nodes that this one or others of its side can reach.
 // Nodes beyond may have a lender of their own, so that each lends its share of the rate.
-// When the share grows, nodes come back whose lender may have lent the burst already.
+// When many nodes come back, their lender may have lent the burst already.
 func (l *Lender) SetShare(now time.Time, share float64) {
 	if share == l.share {
 		return
 	}
-	grows := share > l.share
+	grows := share > l.share && l.share < partitionedShare
 	for _, b := range l.buckets {
 		b.refill(now, l.share)
 		if grows {
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -97,13 +97,19 @@
 	return !leaving || now.Before(until)
 }
 
-// Settle makes the node name the next one as lender for a time. It is called when others
-// may have chosen another lender meanwhile, and when the node stops.
+// Settle makes the node name the next one as lender for a time, and drops its tokens. It is
+// called when others may have chosen another lender meanwhile, and when the node stops.
 func (n *Node) Settle(now time.Time, d time.Duration) {
-	n.settleUntil = now.Add(d)
+	if until := now.Add(d); until.After(n.settleUntil) {
+		n.settleUntil = until
+	}
+	n.borrower.dropTokens()
 	n.lender.Retain(func(id uint64) bool { return n.ranking(id).First != n.opts.Name })
 }
 
+// Settling reports whether the node names the next one as lender.
+func (n *Node) Settling(now time.Time) bool { return now.Before(n.settleUntil) }
+
 // ranking returns the first two nodes by rendezvous hashing among those that can be
 // reached.
 func (n *Node) ranking(workspace uint64) Ranking {
--- a/io/process/dogsidecar/lag.go
+++ b/io/process/dogsidecar/lag.go
@@ -6,7 +6,6 @@
 	"runtime/metrics"
 	"time"
 
-	"dogwoodford/core/process/dogquota"
 	"dogwoodford/io/process/doglag"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
@@ -28,8 +27,8 @@
 	var logged time.Time
 	return doglag.New(func(lag time.Duration) {
 		n.metrics.Observe(dogmetric.SchedulingLag, lag)
-		if n.quotas != nil && lag >= settlingLag {
-			n.quotas.settle(dogquota.SettleTime)
+		if n.quotas != nil {
+			n.quotas.checkPause()
 		}
 		if now := time.Now(); lag >= loggedLag && now.Sub(logged) >= lagLogInterval {
 			logged = now
--- a/io/process/dogsidecar/quota.go
+++ b/io/process/dogsidecar/quota.go
@@ -22,8 +22,12 @@
 	maxTokenRounds = 3
 	// tokenRetry is the hint for a request that got no token in these rounds.
 	tokenRetry = 100 * time.Millisecond
-	// settlingLag is the lag from which other nodes may have chosen another lender.
-	settlingLag = 500 * time.Millisecond
+	// settlingPause is the time without an answer from which other nodes may have chosen
+	// another lender.
+	settlingPause = 500 * time.Millisecond
+	// pauseCheckInterval is the least time between two checks for a pause, as each reads
+	// a clock by a system call.
+	pauseCheckInterval = 10 * time.Millisecond
 	// strangerBurst is the number of datagrams of strangers after which the node pauses
 	// for strangerPause, so that they cost a small share of the processor. Datagrams of
 	// nodes wait for that long in the socket's buffer.
@@ -40,6 +44,7 @@
 	metrics  *dogmetric.Set
 	conn     *net.UDPConn
 	liveness *lenderLiveness
+	lag      func() time.Duration // How late the process is with its work.
 
 	mu     sync.Mutex
 	node   *dogquota.Node
@@ -48,6 +53,10 @@
 	waits  map[uint64]chan struct{} // Closed when waiting requests of a workspace are to be resumed.
 	timer  *time.Timer              // Runs expire.
 	wakeAt time.Time                // Time for which the timer is set; zero if it is not.
+	// checkedAt and checkedBoot are the time of the last check for a pause, by the clock
+	// of the runtime and by that of the machine.
+	checkedAt   time.Time
+	checkedBoot time.Duration
 }
 
 // messageView is the view of the other nodes for messages.
@@ -58,16 +67,18 @@
 	names                               map[netip.Addr]string
 }
 
-// newQuotas returns the quotas of a node, or nil if its settings have none.
-func newQuotas(n *node, tables *dogtable.Holder) *quotas {
+// newQuotas returns the quotas of a node that has started at start, or nil if its settings
+// have none.
+func newQuotas(n *node, tables *dogtable.Holder, start time.Time) *quotas {
 	s := n.settings
 	if s.QuotaWindow <= 0 || s.Messages == "" {
 		return nil
 	}
 	q := &quotas{
 		settings: s, state: n.state, tables: tables, log: n.log, metrics: n.metrics,
+		lag: n.lag.Lag, checkedAt: time.Now(), checkedBoot: bootClock(),
 		waits: make(map[uint64]chan struct{}),
-		node: dogquota.NewNode(time.Now(), dogquota.Options{
+		node: dogquota.NewNode(start, dogquota.Options{
 			Name: s.Node, Rand: newRand(),
 			Bound: dogquota.Bound{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 		}),
@@ -222,9 +233,31 @@
 	q.node.Settle(time.Now(), d)
 }
 
+// checkPause settles the node after a pause of the process or the machine.
+func (q *quotas) checkPause() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.detectPause(time.Now())
+}
+
+// detectPause settles the node after a pause of the process, which the lag shows, or of the
+// machine, which the clock of the runtime leaves out. The caller must hold q.mu.
+func (q *quotas) detectPause(now time.Time) {
+	elapsed := now.Sub(q.checkedAt)
+	if elapsed < pauseCheckInterval {
+		return
+	}
+	boot := bootClock()
+	if boot-q.checkedBoot-elapsed >= settlingPause || q.lag() >= settlingPause {
+		q.node.Settle(now, dogquota.SettleTime)
+	}
+	q.checkedAt, q.checkedBoot = now, boot
+}
+
 // update passes a new configuration and a new view of the fleet to the node. The caller
 // must hold q.mu.
 func (q *quotas) update(now time.Time) {
+	q.detectPause(now)
 	if t := q.tables.Table(); t != q.table {
 		q.table = t
 		limits := make(map[uint64]dogquota.Limit)
--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"dogwoodford/core/process/dogquota"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
+	"dogwoodford/io/process/doglag"
 	"dogwoodford/io/process/dogmetric"
 )
 
@@ -81,11 +83,11 @@
 	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout})
 	q := newQuotas(&node{
 		settings: s, state: st, log: log, metrics: dogmetric.NewSet(), peers: &peers{transport: transport, state: st},
-	}, f.tables)
+		lag: doglag.New(func(time.Duration) {}),
+	}, f.tables, time.Now().Add(-dogquota.SettleTime))
 	if err := q.listen(); err != nil {
 		t.Fatal(err)
 	}
-	q.settle(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- q.serve(ctx) }()
@@ -215,37 +217,68 @@
 func TestNoQuotas(t *testing.T) {
 	s := testSettings()
 	s.Messages = "127.0.0.1:1"
-	if q := newQuotas(&node{settings: s}, nil); q != nil {
+	if q := newQuotas(&node{settings: s}, nil, time.Now()); q != nil {
 		t.Error("quotas without a window")
 	}
 	s.Messages, s.QuotaWindow = "", time.Second
-	if q := newQuotas(&node{settings: s}, nil); q != nil {
+	if q := newQuotas(&node{settings: s}, nil, time.Now()); q != nil {
 		t.Error("quotas without an address")
 	}
 }
 
-// BenchmarkTake measures a request whose node has a token in hand, and one that asks
-// another node.
+// TestQuotaAfterSuspension guards against a lender that lends a full bucket after its
+// machine was suspended, while others have chosen another one.
+func TestQuotaAfterSuspension(t *testing.T) {
+	f := newQuotaFleet(t, 1, 0.001, 40)
+	q := f.nodes[0]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.checkedAt = q.checkedAt.Add(-pauseCheckInterval)
+	q.detectPause(time.Now())
+	if q.node.Settling(time.Now()) {
+		t.Fatal("the node settles without a suspension")
+	}
+	q.checkedAt = q.checkedAt.Add(-pauseCheckInterval)
+	q.checkedBoot -= time.Second + pauseCheckInterval // The clock of the runtime stood still.
+	q.detectPause(time.Now())
+	if !q.node.Settling(time.Now()) {
+		t.Error("the node lends at once after a suspension")
+	}
+}
+
+// BenchmarkTake measures a request whose node has a token in hand, one at the lender, and
+// one for which a message is sent.
 func BenchmarkTake(b *testing.B) {
-	f := newQuotaFleet(b, 2, 1e9, 1e9)
-	for _, name := range []string{"north", "south"} {
-		w := f.workspace(name)
-		f.nodes[0].mu.Lock()
-		lender := f.nodes[0].node.Lender(name)
-		f.nodes[0].mu.Unlock()
-		for _, q := range f.nodes {
-			kind := "borrower"
-			if q.settings.Node == lender {
-				kind = "lender"
-			}
-			b.Run(name+"/"+kind, func(b *testing.B) {
-				for b.Loop() {
-					if _, ok := q.Take(b.Context(), w); !ok {
-						b.Fatal("refused")
-					}
-				}
-				b.ReportMetric(float64(messagesOf(q, "ask"))/float64(b.N), "asks/op")
-			})
+	b.Run("in-hand", func(b *testing.B) { benchmarkTake(b, 1e9, false) })
+	b.Run("lender", func(b *testing.B) { benchmarkTake(b, 1e9, true) })
+	// A bucket that starts far below half of its burst lends nothing in advance.
+	b.Run("message", func(b *testing.B) { benchmarkTake(b, 1e12, false) })
+}
+
+func benchmarkTake(b *testing.B, burst float64, atLender bool) {
+	f := newQuotaFleet(b, 2, 1e9, burst)
+	q := f.nodes[0]
+	if (q.node.Lender("north") == q.settings.Node) != atLender {
+		q = f.nodes[1]
+	}
+	w := f.workspace("north")
+	q.Take(b.Context(), w)
+	asks, before := messagesOf(q, "ask"), processorTime(b)
+	for b.Loop() {
+		if _, ok := q.Take(b.Context(), w); !ok {
+			b.Fatal("refused")
 		}
 	}
+	b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(messagesOf(q, "ask")-asks)/float64(b.N), "asks/op")
+}
+
+// processorTime returns the processor time of this process.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -140,7 +140,7 @@
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
 	n.state.setSlots = gate.SetSlots
-	n.quotas = newQuotas(n, tables)
+	n.quotas = newQuotas(n, tables, time.Now())
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
