--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -136,10 +136,7 @@
 	if r.Recent < minEarlyRecent || spare <= 0 {
 		return 0
 	}
-	n := min(2*r.Recent-r.Waiting, spare)
-	if n <= 0 {
-		return 0
-	}
+	n := min(r.Recent, spare)
 	b.level -= float64(n)
 	b.lent.add(n, now.Add(TokenLifetime+lotSpacing))
 	return n
