Quotas: hints to callers at the pace of the tokens

All callers that a node refused were told to come back at the moment at which it asks again, when there are tokens for a few of them. Now each is told the time at which its turn comes, at most 3 s. A test runs a whole node.

--- a/core/process/dogquota/borrower.go
+++ b/core/process/dogquota/borrower.go
@@ -25,7 +25,7 @@
 	// fallbackMemory is the time after its last use for which a fallback bucket keeps
 	// its level.
 	fallbackMemory = 10 * time.Second
-	// maxRetryAfter bounds the hints of lenders.
+	// maxRetryAfter bounds the hints of lenders, and those to callers.
 	maxRetryAfter = 3 * time.Second
 	// shortRetry is the hint for a request that found its token taken by another one.
 	shortRetry = 50 * time.Millisecond
@@ -95,6 +95,11 @@
 	attempt   int
 	// refuseUntil is the time until which requests without a token are refused.
 	refuseUntil time.Time
+	// interval is the time between two asks while tokens are short, and part the
+	// number of tokens that each yields. refused counts the requests that were refused
+	// since the last.
+	interval      time.Duration
+	part, refused int
 	// redirectUntil is the time until which the second node of the ranking lends.
 	redirectUntil time.Time
 	lost          bool      // No node lends to this one.
@@ -164,13 +169,21 @@
 	case a.lost && now.Before(a.askAgainAt):
 		return a.fallBack(now)
 	case now.Before(a.refuseUntil):
-		return Decision{Verdict: Refused, RetryAfter: max(shortRetry, a.refuseUntil.Sub(now))}
+		return a.refuse(now)
 	}
 	a.waiting++
 	b.enqueue(a)
 	return Decision{Verdict: Wait}
 }
 
+// refuse refuses a request until there may be a token for it, if those that were refused
+// before it come back earlier.
+func (a *account) refuse(now time.Time) Decision {
+	wait := a.refuseUntil.Sub(now) + time.Duration(a.refused/a.part)*a.interval
+	a.refused++
+	return Decision{Verdict: Refused, RetryAfter: min(max(shortRetry, wait), maxRetryAfter)}
+}
+
 func (a *account) fallBack(now time.Time) Decision {
 	if a.fallback.take(now) {
 		return Decision{Verdict: Granted, Fallback: true}
@@ -300,6 +313,7 @@
 	a.lost = false
 	if retryAfter > 0 {
 		a.refuseUntil = now.Add(retryAfter)
+		a.interval, a.part, a.refused = retryAfter, max(1, g.Tokens), 0
 	}
 	if a.state == asked {
 		a.state = idle
--- a/core/process/dogquota/node_test.go
+++ b/core/process/dogquota/node_test.go
@@ -197,3 +197,23 @@
 		t.Errorf("%d messages for %d workspaces, want %d", len(out), items, want)
 	}
 }
+
+// TestRetryAfter guards against callers that are all told to come back at the same moment,
+// at which there are tokens for a few of them.
+func TestRetryAfter(t *testing.T) {
+	b := NewBorrower(BorrowerOptions{Bound: bound, Rand: newRand()})
+	ranking := Ranking{First: "n1", Second: "n2"}
+	b.Take(start, north, ranking)
+	ask := b.Asks(start)[0]
+	b.Answer(start, "n1", ask.ID, []Grant{{Tokens: 2, RetryAfter: 500 * time.Millisecond}})
+	b.Resume(start, north.ID)
+	b.Take(start, north, ranking) // Takes the second token.
+	var got []time.Duration
+	for range 20 {
+		got = append(got, b.Take(start, north, ranking).RetryAfter/time.Millisecond)
+	}
+	want := []time.Duration{500, 500, 1000, 1000, 1500, 1500, 2000, 2000, 2500, 2500, 3000, 3000, 3000, 3000, 3000, 3000, 3000, 3000, 3000, 3000}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("hints in milliseconds at a pace of 2 tokens in 500 ms (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/dogsidecar/lender.go
+++ b/io/process/dogsidecar/lender.go
@@ -15,7 +15,7 @@
 	// nodes find it again within dogquota.SettleTime of its start.
 	lenderProbeInterval = time.Second
 	// maxLenderProbes bounds the probes in progress. They open a connection each.
-	maxLenderProbes = 8
+	maxLenderProbes = 32
 	// sweepInterval is the least time between two probes of all nodes of one data
 	// centre.
 	sweepInterval = 5 * time.Second
--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,10 +13,12 @@
 
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/core/process/dogquota"
+	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
 	"dogwoodford/io/process/doglag"
 	"dogwoodford/io/process/dogmetric"
+	"dogwoodford/io/request/dogrelay"
 )
 
 // quotaFleet is a fleet of nodes on loopback addresses that share the port of messages.
@@ -282,3 +285,90 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// keyDialect is a namedDialect with a header for keys.
+type keyDialect struct{ namedDialect }
+
+func (keyDialect) Headers() dogrelay.Headers {
+	h := namedDialect{}.Headers()
+	h.Key, h.Workspace = "X-Key", "X-Workspace"
+	return h
+}
+
+// Addresses of the node of TestQuotaOfNode, which no other test uses.
+const (
+	quotaInbound  = "127.77.1.2:7302"
+	quotaOutbound = "127.77.1.2:7301"
+	quotaReady    = "127.77.1.2:7303"
+	quotaControl  = "127.77.1.2:7304"
+	quotaMessages = "127.77.1.2:7305"
+)
+
+// TestQuotaOfNode guards against a node whose entry does not ask for tokens, or that
+// refuses all requests as it knows no other node.
+func TestQuotaOfNode(t *testing.T) {
+	s := testSettings()
+	s.Advertised, s.Inbound, s.Outbound, s.Ready, s.Control = quotaInbound, quotaInbound, quotaOutbound, quotaReady, quotaControl
+	s.Messages, s.QuotaWindow, s.QuotaOverage, s.QuotaSlack = quotaMessages, 5*time.Second, 0.1, 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	target := &recordingTarget{runs: make(map[string]int)}
+	go target.serve(ln)
+	s.Target = ln.Addr().String()
+	n := newNode(s, keyDialect{}, newFakeStore(), io.Discard)
+	defer n.log.close()
+	table, err := dogtable.New(dogtable.Spec{
+		Version:    1,
+		Services:   []dogtable.Service{{Name: "rounds"}},
+		Workspaces: []dogtable.WorkspaceSpec{{Name: "north", Keys: []string{"n"}, Rate: 0.001, Burst: 2}},
+		Routes: []dogtable.RouteSpec{{
+			Name: "r", Host: "h", Prefix: "/", Kind: dogtable.Idempotent, Timeout: 5 * time.Second, Attempts: 1,
+			Backends: []dogtable.Backend{{Service: "rounds", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.configs.tables.Offer(table)
+	n.state.ReceiveHeartbeat(dogtarget.Heartbeat{
+		ID: "i-1", Service: "rounds", Address: s.Target, Born: 1, Sequence: 1, Slots: 100,
+	})
+	if err := n.listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := n.supervise(ctx)
+	defer func() { cancel(); <-done }()
+	got := make(map[int]int)
+	for end := time.Now().Add(10 * time.Second); got[http.StatusOK] < 2 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		got[sendWithKey(t, len(got))]++
+	}
+	for range 5 {
+		if status := sendWithKey(t, 0); status != http.StatusTooManyRequests {
+			t.Errorf("status %d beyond the quota, want 429", status)
+		}
+	}
+	if got[http.StatusOK] != 2 {
+		t.Errorf("answers by status: %v, want 2 with 200", got)
+	}
+}
+
+// sendWithKey sends a request to the node of TestQuotaOfNode and returns the status.
+func sendWithKey(t *testing.T, i int) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+quotaOutbound+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header = http.Header{"X-Key": {"n"}, "X-Attempt": {fmt.Sprintf("a%d-%d", i, time.Now().UnixNano())}}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close() // Empty.
+	return resp.StatusCode
+}
