Quotas: full rate after a planned handover, and an event for the fallback

A node that takes over from the one that it has named lent half of its rate for a second, as after a failure; 5 to 15 requests of a small workspace were refused after a start. Nobody uses a fallback bucket then.

--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -56,6 +56,9 @@
 	Workspace Workspace
 	Waiting   int // Requests that wait for a token.
 	Recent    int // Requests of the last second.
+	// HandedOver tells that another node has lent up to now and has not failed, so that
+	// no node uses its fallback bucket.
+	HandedOver bool
 }
 
 // Grant answers a Request.
@@ -113,6 +116,9 @@
 
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
+	if !l.Has(r.Workspace.ID) && r.HandedOver {
+		l.bucket(now, r.Workspace).started = now.Add(-takeoverTime)
+	}
 	b := l.bucket(now, r.Workspace)
 	if now.Sub(b.refusedAt) < contentionPeriod {
 		return l.lendPart(now, b, node, r)
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -12,6 +12,10 @@
 // about the same time.
 const SettleTime = 3 * time.Second
 
+// handoverTime is the time after SettleTime in which a node takes over the workspaces for
+// which it comes first from the node that it has named.
+const handoverTime = 10 * time.Second
+
 // Options configure a Node.
 type Options struct {
 	Name  string
@@ -241,6 +245,7 @@
 	if redirected && n.ranking(r.Workspace.ID).First != n.opts.Name {
 		n.leaving[r.Workspace.ID] = now.Add(SettleTime)
 	}
+	r.HandedOver = !redirected && now.Sub(n.settleUntil) < handoverTime
 	return n.lender.Lend(now, from, r)
 }
 
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -132,4 +132,5 @@
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
 	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
 	LenderBack        = define(1831, "lender-back", slog.LevelInfo)
+	QuotaFallback     = define(1832, "quota-fallback", slog.LevelWarn)
 )
--- a/io/process/dogsidecar/quota.go
+++ b/io/process/dogsidecar/quota.go
@@ -46,13 +46,14 @@
 	liveness *lenderLiveness
 	lag      func() time.Duration // How late the process is with its work.
 
-	mu     sync.Mutex
-	node   *dogquota.Node
-	table  *dogtable.Table // The table whose limits node has.
-	view   messageView
-	waits  map[uint64]chan struct{} // Closed when waiting requests of a workspace are to be resumed.
-	timer  *time.Timer              // Runs expire.
-	wakeAt time.Time                // Time for which the timer is set; zero if it is not.
+	mu       sync.Mutex
+	node     *dogquota.Node
+	table    *dogtable.Table // The table whose limits node has.
+	view     messageView
+	waits    map[uint64]chan struct{} // Closed when waiting requests of a workspace are to be resumed.
+	timer    *time.Timer              // Runs expire.
+	wakeAt   time.Time                // Time for which the timer is set; zero if it is not.
+	fallback map[string]bool          // Lenders that have not answered, so that fallback buckets are used.
 	// checkedAt and checkedBoot are the time of the last check for a pause, by the clock
 	// of the runtime and by that of the machine.
 	checkedAt   time.Time
@@ -77,7 +78,7 @@
 	q := &quotas{
 		settings: s, state: n.state, tables: tables, log: n.log, metrics: n.metrics,
 		lag: n.lag.Lag, checkedAt: time.Now(), checkedBoot: bootClock(),
-		waits: make(map[uint64]chan struct{}),
+		waits: make(map[uint64]chan struct{}), fallback: make(map[string]bool),
 		node: dogquota.NewNode(start, dogquota.Options{
 			Name: s.Node, Rand: newRand(),
 			Bound: dogquota.Bound{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
@@ -222,6 +223,7 @@
 	q.mu.Unlock()
 	q.send(out)
 	for _, name := range lost {
+		q.recordFallback(name, true)
 		q.liveness.doubt(name)
 	}
 }
@@ -379,6 +381,9 @@
 	out := q.flush(now)
 	q.mu.Unlock()
 	q.metrics.Add(dogmetric.QuotaBytes, int64(len(data)))
+	if m.Kind == dogquota.KindAnswer {
+		q.recordFallback(name, false)
+	}
 	if r.Ignored {
 		q.metrics.AddTo(dogmetric.QuotaMessages, quotaIgnored, 1)
 	}
@@ -393,6 +398,21 @@
 	return true
 }
 
+// recordFallback logs that a lender does not answer, or answers again.
+func (q *quotas) recordFallback(lender string, active bool) {
+	q.mu.Lock()
+	changed := q.fallback[lender] != active
+	if active {
+		q.fallback[lender] = true
+	} else {
+		delete(q.fallback, lender)
+	}
+	q.mu.Unlock()
+	if changed {
+		q.log.event(doglog.QuotaFallback, slog.String("peer", lender), slog.Bool("active", active))
+	}
+}
+
 // logLender logs that a lender is lost or back.
 func logLender(l *logger, name string, lost, silent bool) {
 	if lost {
