--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -79,7 +79,7 @@
 	level     float64
 	started   time.Time // Time of the takeover.
 	updated   time.Time
-	lent      lots                 // Tokens lent in advance.
+	lent      loans                // Tokens lent in advance.
 	promised  time.Time            // Time at which the last promised token is there.
 	refusedAt time.Time            // Time of the last request that got too few tokens.
 	askers    map[string]time.Time // Last requests of nodes while tokens are short.
@@ -120,6 +120,7 @@
 		l.bucket(now, r.Workspace).started = now.Add(-takeoverTime)
 	}
 	b := l.bucket(now, r.Workspace)
+	b.lent.used(node)
 	if now.Sub(b.refusedAt) < contentionPeriod {
 		return l.lendPart(now, b, node, r)
 	}
@@ -131,20 +132,20 @@
 		b.countAsker(now, node)
 		return Grant{Tokens: n, RetryAfter: l.promise(now, b)}
 	}
-	early := l.lendEarly(now, b, r)
+	early := l.lendEarly(now, b, node, r)
 	return Grant{Tokens: n + early}
 }
 
 // lendEarly lends tokens for the requests of the near future while the bucket is over half
 // full. A node with few requests gets none, as it would rarely use them before they expire.
-func (l *Lender) lendEarly(now time.Time, b *bucket, r Request) int {
+func (l *Lender) lendEarly(now time.Time, b *bucket, node string, r Request) int {
 	spare := int(b.level - b.limit.capacity()/2)
 	if r.Recent < minEarlyRecent || spare <= 0 {
 		return 0
 	}
 	n := min(r.Recent, spare)
 	b.level -= float64(n)
-	b.lent.add(n, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n, now.Add(TokenLifetime+lotSpacing))
 	return n
 }
 
@@ -165,7 +166,7 @@
 	want := r.Waiting + int(float64(r.Recent)*interval)
 	n := min(want, part, int(b.level))
 	b.level -= float64(n)
-	b.lent.add(n-r.Waiting, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n-r.Waiting, now.Add(TokenLifetime+lotSpacing))
 	if n >= want {
 		return Grant{Tokens: n}
 	}
