Quotas: hold nothing for workspaces that the configuration does not have

The ranking of nodes was kept for each workspace that a message named, so that forged messages could use up the memory.

--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -203,8 +203,8 @@
 		reply := Message{Kind: KindAnswer, ID: m.ID, Items: make([]Item, len(m.Items))}
 		received := Received{Reply: &reply}
 		for i, it := range m.Items {
-			if first := n.ranking(it.Workspace).First; first != n.opts.Name && !m.Redirected {
-				received.Doubted = first
+			if !m.Redirected {
+				received.Doubted = n.otherLender(it.Workspace)
 			}
 			reply.Items[i].Grant = n.lend(now, from, m.Redirected, Request{
 				Workspace: Workspace{ID: it.Workspace}, Waiting: it.Waiting, Recent: it.Recent,
@@ -228,6 +228,18 @@
 	return Received{}
 }
 
+// otherLender returns the node that lends tokens of a workspace in the view of this one;
+// empty if that is this one, or if there is no such workspace.
+func (n *Node) otherLender(workspace uint64) string {
+	if _, ok := n.limits[workspace]; !ok {
+		return ""
+	}
+	if first := n.ranking(workspace).First; first != n.opts.Name {
+		return first
+	}
+	return ""
+}
+
 // unknownRetryAfter is the hint for a workspace that this node does not know yet or no
 // longer, and while it knows nothing of the fleet.
 const unknownRetryAfter = 500 * time.Millisecond
--- a/core/process/dogquota/node_test.go
+++ b/core/process/dogquota/node_test.go
@@ -217,3 +217,19 @@
 		t.Errorf("hints in milliseconds at a pace of 2 tokens in 500 ms (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnknownWorkspaces guards against memory for workspaces that the configuration does
+// not have, and against tokens for them.
+func TestUnknownWorkspaces(t *testing.T) {
+	n := newNode("n1", "n2")
+	for id := range uint64(1000) {
+		ask := Message{Kind: KindAsk, ID: id, Items: []Item{{Workspace: id, Waiting: 1}}}
+		if g := n.Receive(start, "n2", ask).Reply.Items[0].Grant; g.Tokens > 0 || g.RetryAfter == 0 {
+			t.Fatalf("workspace %d: %+v, want no token and a hint", id, g)
+		}
+		n.Receive(start, "n2", Message{Kind: KindReturn, ID: id, Items: []Item{{Workspace: id, Waiting: 1}}})
+	}
+	if held := len(n.rankings) + len(n.leaving) + len(n.lender.buckets); held > 1 {
+		t.Errorf("%d entries held for unknown workspaces", held)
+	}
+}
--- a/io/process/dogsidecar/lender.go
+++ b/io/process/dogsidecar/lender.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/io/process/doglog"
 )
 
 const (
@@ -161,3 +163,12 @@
 		logLender(l.log, name, !alive, silent)
 	}
 }
+
+// logLender logs that a lender is lost or back.
+func logLender(l *logger, name string, lost, silent bool) {
+	if lost {
+		l.event(doglog.LenderLost, slog.String("peer", name), slog.Bool("dark", silent))
+		return
+	}
+	l.event(doglog.LenderBack, slog.String("peer", name))
+}
--- a/io/process/dogsidecar/quota.go
+++ b/io/process/dogsidecar/quota.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -28,11 +25,6 @@
 	// pauseCheckInterval is the least time between two checks for a pause, as each reads
 	// a clock by a system call.
 	pauseCheckInterval = 10 * time.Millisecond
-	// strangerBurst is the number of datagrams of strangers after which the node pauses
-	// for strangerPause, so that they cost a small share of the processor. Datagrams of
-	// nodes wait for that long in the socket's buffer.
-	strangerBurst = 32
-	strangerPause = 5 * time.Millisecond
 )
 
 // quotas takes part in the quotas of workspaces. It implements dogrelay.Quotas.
@@ -60,14 +52,6 @@
 	checkedBoot time.Duration
 }
 
-// messageView is the view of the other nodes for messages.
-type messageView struct {
-	fleetGeneration, livenessGeneration uint64
-	listed                              bool
-	addresses                           map[string]netip.AddrPort
-	names                               map[netip.Addr]string
-}
-
 // newQuotas returns the quotas of a node that has started at start, or nil if its settings
 // have none.
 func newQuotas(n *node, tables *dogtable.Holder, start time.Time) *quotas {
@@ -90,20 +74,6 @@
 	return q
 }
 
-// listen opens the socket for messages.
-func (q *quotas) listen() error {
-	addr, err := netip.ParseAddrPort(q.settings.Messages)
-	if err != nil {
-		return fmt.Errorf("address for messages: %w", err)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return fmt.Errorf("listen for messages: %w", err)
-	}
-	q.conn = conn
-	return nil
-}
-
 // Take implements dogrelay.Quotas.
 func (q *quotas) Take(ctx context.Context, w *dogtable.Workspace) (retryAfter time.Duration, ok bool) {
 	id := dogquota.WorkspaceID(w.Name())
@@ -150,14 +120,11 @@
 	}
 }
 
-// Labels of dogmetric.QuotaRequests and dogmetric.QuotaMessages.
+// Labels of dogmetric.QuotaRequests.
 const (
-	quotaGranted   = "granted"
-	quotaRefused   = "refused"
-	quotaFallback  = "fallback-"
-	quotaMalformed = "malformed"
-	quotaStranger  = "stranger"
-	quotaIgnored   = "ignored"
+	quotaGranted  = "granted"
+	quotaRefused  = "refused"
+	quotaFallback = "fallback-"
 )
 
 // count counts a decision and returns it as Take does.
@@ -278,126 +245,6 @@
 	}
 }
 
-// updateView passes a new view of the fleet to the node. The caller must hold q.mu.
-func (q *quotas) updateView(now time.Time) {
-	own, _ := netip.ParseAddrPort(q.settings.Messages) // Checked by listen.
-	q.view.addresses, q.view.names = make(map[string]netip.AddrPort), make(map[netip.Addr]string)
-	view := dogquota.View{Complete: q.view.listed}
-	for _, m := range q.state.members() {
-		peer, err := netip.ParseAddrPort(m.Peer)
-		if err != nil || m.Node == q.settings.Node {
-			continue
-		}
-		alive, silent := q.liveness.status(m.Node)
-		view.Known = append(view.Known, m.Node)
-		if alive {
-			view.Reachable = append(view.Reachable, m.Node)
-		}
-		if silent || m.Silent {
-			view.Silent++
-		}
-		if _, ok := q.view.names[peer.Addr()]; !ok || alive {
-			q.view.names[peer.Addr()] = m.Node
-		}
-		q.view.addresses[m.Node] = netip.AddrPortFrom(peer.Addr(), own.Port())
-	}
-	q.node.SetView(now, view)
-}
-
-// send sends messages to other nodes. Lost ones are asked again.
-func (q *quotas) send(out []dogquota.Outgoing) {
-	for _, o := range out {
-		q.mu.Lock()
-		addr, ok := q.view.addresses[o.Node]
-		q.mu.Unlock()
-		if ok {
-			q.write(o.Message, addr)
-		}
-	}
-}
-
-var quotaKinds = map[dogquota.Kind]string{
-	dogquota.KindAsk: "ask", dogquota.KindAnswer: "answer", dogquota.KindReturn: "return",
-}
-
-func (q *quotas) write(m dogquota.Message, addr netip.AddrPort) {
-	var buf [dogquota.MaxMessageBytes]byte
-	n, err := q.conn.WriteToUDPAddrPort(m.Append(buf[:0]), addr)
-	if err != nil {
-		return // As if it were lost on the way.
-	}
-	q.metrics.AddTo(dogmetric.QuotaMessages, quotaKinds[m.Kind], 1)
-	q.metrics.Add(dogmetric.QuotaBytes, int64(n))
-}
-
-// close ends the read of serve and the probes of other nodes.
-func (q *quotas) close() {
-	_ = q.conn.Close() // There is nothing to be written.
-	close(q.liveness.done)
-}
-
-// serve handles messages of other nodes until ctx ends.
-func (q *quotas) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, q.close)
-	defer stop()
-	buf := make([]byte, dogquota.MaxMessageBytes+1)
-	strangers := 0
-	for {
-		n, from, err := q.conn.ReadFromUDPAddrPort(buf)
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return ctx.Err()
-		case err != nil:
-			continue // Of an earlier message to a node that is gone.
-		case q.receive(buf[:n], from):
-			strangers = 0
-			continue
-		}
-		if strangers++; strangers%strangerBurst == 0 {
-			time.Sleep(strangerPause)
-		}
-	}
-}
-
-// receive handles a datagram and reports whether it is a message of a known node.
-func (q *quotas) receive(data []byte, from netip.AddrPort) bool {
-	q.mu.Lock()
-	now := time.Now()
-	q.update(now)
-	name, ok := q.view.names[from.Addr().Unmap()]
-	if !ok || from.Port() != q.view.addresses[name].Port() {
-		q.mu.Unlock()
-		q.metrics.AddTo(dogmetric.QuotaMessages, quotaStranger, 1)
-		return false
-	}
-	m, err := dogquota.ParseMessage(data)
-	if err != nil {
-		q.mu.Unlock()
-		q.metrics.AddTo(dogmetric.QuotaMessages, quotaMalformed, 1)
-		return false
-	}
-	r := q.node.Receive(now, name, m)
-	q.resume(r.Resolved)
-	out := q.flush(now)
-	q.mu.Unlock()
-	q.metrics.Add(dogmetric.QuotaBytes, int64(len(data)))
-	if m.Kind == dogquota.KindAnswer {
-		q.recordFallback(name, false)
-	}
-	if r.Ignored {
-		q.metrics.AddTo(dogmetric.QuotaMessages, quotaIgnored, 1)
-	}
-	if r.Reply != nil {
-		q.write(*r.Reply, from)
-	}
-	q.send(out)
-	q.liveness.heard(name)
-	if r.Doubted != "" {
-		q.liveness.doubt(r.Doubted)
-	}
-	return true
-}
-
 // recordFallback logs that a lender does not answer, or answers again.
 func (q *quotas) recordFallback(lender string, active bool) {
 	q.mu.Lock()
@@ -412,12 +259,3 @@
 		q.log.event(doglog.QuotaFallback, slog.String("peer", lender), slog.Bool("active", active))
 	}
 }
-
-// logLender logs that a lender is lost or back.
-func logLender(l *logger, name string, lost, silent bool) {
-	if lost {
-		l.event(doglog.LenderLost, slog.String("peer", name), slog.Bool("dark", silent))
-		return
-	}
-	l.event(doglog.LenderBack, slog.String("peer", name))
-}
