--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -185,34 +185,34 @@
 	}
 }
 
-// TestQuotaDatagrams guards against datagrams of strangers, or malformed ones, that stop
+// TestQuotaDatagrams guards against datagrams of unknown senders, or malformed ones, that stop
 // or drain the node.
 func TestQuotaDatagrams(t *testing.T) {
 	f := newQuotaFleet(t, 2, 0.001, 40)
 	addr := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: f.port}
 	ask := dogquota.Message{Kind: dogquota.KindAsk, Items: []dogquota.Item{{Workspace: dogquota.WorkspaceID("north"), Waiting: 40}}}
-	stranger, err := net.DialUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 77)}, addr)
+	sender, err := net.DialUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 77)}, addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = stranger.Close() }()
+	defer func() { _ = sender.Close() }()
 	for range 10 {
-		_, _ = stranger.Write(ask.Append(nil))
-		_, _ = stranger.Write([]byte(strings.Repeat("x", 3000)))
+		_, _ = sender.Write(ask.Append(nil))
+		_, _ = sender.Write([]byte(strings.Repeat("x", 3000)))
 	}
 	if _, err := f.nodes[1].conn.WriteTo([]byte("no message"), addr); err != nil {
 		t.Fatal(err)
 	}
 	deadline := time.Now().Add(5 * time.Second)
-	for messagesOf(f.nodes[0], quotaStranger) < 20 || messagesOf(f.nodes[0], quotaMalformed) < 1 {
+	for messagesOf(f.nodes[0], quotaUnknownSender) < 20 || messagesOf(f.nodes[0], quotaMalformed) < 1 {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d datagrams of strangers and %d malformed ones counted, want 20 and 1",
-				messagesOf(f.nodes[0], quotaStranger), messagesOf(f.nodes[0], quotaMalformed))
+			t.Fatalf("%d datagrams of unknown senders and %d malformed ones counted, want 20 and 1",
+				messagesOf(f.nodes[0], quotaUnknownSender), messagesOf(f.nodes[0], quotaMalformed))
 		}
 		time.Sleep(time.Millisecond)
 	}
 	if _, ok := f.nodes[0].Take(t.Context(), f.workspace("north")); !ok {
-		t.Error("a stranger has used up the quota")
+		t.Error("an unknown sender has used up the quota")
 	}
 }
 
--- a/io/process/dogsidecar/quotamessage.go
+++ b/io/process/dogsidecar/quotamessage.go
@@ -13,18 +13,18 @@
 )
 
 const (
-	// strangerBurst is the number of datagrams of strangers after which the node pauses
-	// for strangerPause, so that they cost a small share of the processor. Datagrams of
+	// unknownSenderBurst is the number of datagrams of unknown senders after which the node pauses
+	// for unknownSenderPause, so that they cost a small share of the processor. Datagrams of
 	// nodes wait for that long in the socket's buffer.
-	strangerBurst = 32
-	strangerPause = 5 * time.Millisecond
+	unknownSenderBurst = 32
+	unknownSenderPause = 5 * time.Millisecond
 )
 
 // Labels of dogmetric.QuotaMessages for datagrams that are not used.
 const (
-	quotaMalformed = "malformed"
-	quotaStranger  = "stranger"
-	quotaIgnored   = "ignored"
+	quotaMalformed     = "malformed"
+	quotaUnknownSender = "unknown-sender"
+	quotaIgnored       = "ignored"
 )
 
 // messageView is the view of the other nodes for messages.
@@ -112,7 +112,7 @@
 	stop := context.AfterFunc(ctx, q.close)
 	defer stop()
 	buf := make([]byte, dogquota.MaxMessageBytes+1)
-	strangers := 0
+	unknown := 0
 	for {
 		n, from, err := q.conn.ReadFromUDPAddrPort(buf)
 		switch {
@@ -121,11 +121,11 @@
 		case err != nil:
 			continue // Of an earlier message to a node that is gone.
 		case q.receive(buf[:n], from):
-			strangers = 0
+			unknown = 0
 			continue
 		}
-		if strangers++; strangers%strangerBurst == 0 {
-			time.Sleep(strangerPause)
+		if unknown++; unknown%unknownSenderBurst == 0 {
+			time.Sleep(unknownSenderPause)
 		}
 	}
 }
@@ -138,7 +138,7 @@
 	name, ok := q.view.names[from.Addr().Unmap()]
 	if !ok || from.Port() != q.view.addresses[name].Port() {
 		q.mu.Unlock()
-		q.metrics.AddTo(dogmetric.QuotaMessages, quotaStranger, 1)
+		q.metrics.AddTo(dogmetric.QuotaMessages, quotaUnknownSender, 1)
 		return false
 	}
 	m, err := dogquota.ParseMessage(data)
