--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -1,6 +1,7 @@
 package dogquota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -73,6 +74,8 @@
 	known := func(id uint64) bool { _, ok := limits[id]; return ok }
 	n.lender.Retain(known)
 	n.borrower.Retain(known)
+	maps.DeleteFunc(n.leaving, func(id uint64, _ time.Time) bool { return !known(id) })
+	clear(n.rankings)
 }
 
 // SetView records a new view of the other nodes.
@@ -203,8 +206,8 @@
 		reply := Message{Kind: KindAnswer, ID: m.ID, Items: make([]Item, len(m.Items))}
 		received := Received{Reply: &reply}
 		for i, it := range m.Items {
-			if !m.Redirected {
-				received.Doubted = n.otherLender(it.Workspace)
+			if other := n.otherLender(it.Workspace); other != "" && !m.Redirected {
+				received.Doubted = other
 			}
 			reply.Items[i].Grant = n.lend(now, from, m.Redirected, Request{
 				Workspace: Workspace{ID: it.Workspace}, Waiting: it.Waiting, Recent: it.Recent,
