Fair shares: ranks of requests by the demand of their workspace

Cause: within one importance the rank was a hash of the request, so that a workspace got room in proportion to what it sent.

The entry draws the rank once, it travels with the request and is inherited by calls below. Without workspaces ranks are as before.

--- a/core/version/dogtable/workspace.go
+++ b/core/version/dogtable/workspace.go
@@ -123,6 +123,13 @@
 	return w, ok
 }
 
+// Workspaces calls f for each workspace.
+func (t *Table) Workspaces(f func(*Workspace)) {
+	for _, w := range t.workspaces {
+		f(w)
+	}
+}
+
 // WorkspaceNamed returns the workspace with the given name.
 func (t *Table) WorkspaceNamed(name string) (*Workspace, bool) {
 	w, ok := t.workspaces[name]
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -23,8 +23,9 @@
 	metrics *dogmetric.Set
 	tables  *dogtable.Holder
 	split   *dogtable.Split
-	offers  sync.Mutex             // Held while a configuration is put in force.
-	raw     atomic.Pointer[[]byte] // Unparsed configuration in force, for other nodes.
+	offers  sync.Mutex              // Held while a configuration is put in force.
+	raw     atomic.Pointer[[]byte]  // Unparsed configuration in force, for other nodes.
+	inForce []func(*dogtable.Table) // Called with each table that is put in force, in order.
 }
 
 // offer puts a value in force if it is valid and newer than the configuration
@@ -48,6 +49,9 @@
 	}
 	c.split.Reset()
 	c.raw.Store(&value)
+	for _, f := range c.inForce {
+		f(t)
+	}
 	c.log.event(doglog.ConfigInForce, slog.String("from", from), slog.Int64("before", before),
 		slog.Int64("version", t.Version()), slog.Int("routes", len(spec.Routes)))
 	c.reportProblems(t.Version(), spec.Problems)
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -124,7 +124,11 @@
 	tables := new(dogtable.Holder)
 	split := dogtable.NewSplit(newRand())
 	n.state = newState(settings, n.log, tables.Version)
-	n.configs = &configs{dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split}
+	shares := newShares()
+	n.configs = &configs{
+		dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split,
+		inForce: []func(*dogtable.Table){shares.setWorkspaces},
+	}
 	liveness := dogconn.Liveness{UnacknowledgedTimeout: unacknowledgedTimeout, ProbeInterval: unacknowledgedTimeout}
 	toPeers := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
@@ -146,7 +150,7 @@
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{
 			Rand: newRand(), UseMean: true, Refresh: cutoffRefreshInterval, RetryByRefusalShare: true,
 		})},
-		Trees: newTrees(),
+		Trees: newTrees(), Shares: shares,
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
 		})),
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -40,13 +40,16 @@
 func (c *call) request() dogwoodford.Request {
 	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
 		ID: c.id, Root: c.lineage.root, Service: c.service, Class: c.lineage.class, Hop: c.lineage.hop,
-		Workspace:  c.lineage.workspace,
-		Importance: max(0, dogwoodford.MaxImportance-c.lineage.priority),
+		Workspace:  c.lineage.workspace, FairRank: c.lineage.fairRank,
+		Importance: c.importance(),
 		Idempotent: c.kind.Repeatable(),
 		Deadline:   c.deadline, Attempt: c.attempt, ContentSize: c.body.length,
 	})
 }
 
+// importance returns the importance of c; see dogwoodford.Priority.
+func (c *call) importance() int { return max(0, dogwoodford.MaxImportance-c.lineage.priority) }
+
 // outgoing returns the request to send to addr. It has the end-to-end headers of
 // the caller.
 func (c *call) outgoing(ctx context.Context, addr string) *http.Request {
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -174,9 +174,17 @@
 	Event(ctx context.Context, e doglog.Event, attrs ...slog.Attr)
 }
 
+// Shares ranks the requests of workspaces that compete for too little room.
+// Implementations are safe for concurrent use.
+type Shares interface {
+	// Rank counts a request of a workspace and returns its rank within its importance.
+	// fraction is a number in [0, 1) that is drawn for the request.
+	Rank(workspace string, importance int, fraction float64) int
+}
+
 // Config holds the settings and components of a relay. All are required, except
-// that the bounds may be 0, and Keys and Quotas may be nil: keys are then trusted always,
-// and quotas do not hold.
+// that the bounds may be 0, and Keys, Quotas and Shares may be nil: keys are then trusted
+// always, quotas do not hold, and ranks are random.
 type Config struct {
 	Headers       Headers
 	Node          string
@@ -194,6 +202,7 @@
 	Trees         Trees
 	Keys          Keys
 	Quotas        Quotas
+	Shares        Shares
 	Gate          *doggate.Gate
 	Router        *doggate.Balancer
 	Peers         *dogconn.Transport
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -90,6 +90,7 @@
 		kind: route.Kind(), source: r, body: b, deadline: start.Add(timeout), hidesKeys: table.HasWorkspaces(),
 	}
 	c.lineage = lineageOf(c, route, w, parent)
+	h.rank(c, w)
 	c.content = contentOf(c.caller, sharedDigest(r, b))
 	c.cleared = h.cfg.Crashes.HasCompleted(c.content)
 	if remaining := h.cfg.Crashes.QuarantineRemaining(c.content); remaining > 0 {
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -30,6 +30,9 @@
 	// failed because of a child call: their number, and that of the failed ones. It is
 	// a header of its own for the same reason.
 	headerRuns = dogcall.Prefix + "Runs"
+	// headerRank holds the rank of the request within its importance, plus 1. It is
+	// present if the request has a workspace.
+	headerRank = dogcall.Prefix + "Rank"
 )
 
 // errPeerHeader is wrapped by all errors about the headers between nodes.
@@ -156,6 +159,9 @@
 		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, escapeField(c.lineage.class), h.cfg.Peer,
 		escapeField(c.service), escapeField(c.caller))}
 	h.formatWorkspace(out, c)
+	if c.lineage.fairRank > 0 {
+		out[headerRank] = []string{strconv.Itoa(c.lineage.fairRank)}
+	}
 	if c.cleared {
 		out[headerCleared] = []string{"1"}
 	}
@@ -174,11 +180,22 @@
 	return &call{
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
-		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r)},
+		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r),
+			fairRank: parseRank(r.Header)},
 		content: contentOf(f[3], uint64(n[7])), cleared: r.Header.Get(headerCleared) != "",
 	}, nil
 }
 
+// parseRank returns the rank in headerRank, 0 if there is none or it is malformed: the
+// request then has a random rank.
+func parseRank(in http.Header) int {
+	rank, err := strconv.Atoi(in.Get(headerRank))
+	if err != nil || rank < 0 {
+		return 0
+	}
+	return min(rank, dogwoodford.RankCount)
+}
+
 // answerNumbers and answerTexts are the counts of numeric fields and text fields
 // in headerAnswer.
 const (
--- a/io/request/dogrelay/registry.go
+++ b/io/request/dogrelay/registry.go
@@ -40,6 +40,9 @@
 	retried  bool   // This request or an ancestor was sent to a target before.
 	// workspace is the name of the caller's workspace, empty if it needs none.
 	workspace string
+	// fairRank is the rank of its requests within their importance, plus 1; 0 if there
+	// is no workspace.
+	fairRank int
 }
 
 func newRegistry() *registry { return &registry{running: make(map[string]*run)} }
--- a/io/request/dogrelay/workspace.go
+++ b/io/request/dogrelay/workspace.go
@@ -34,6 +34,14 @@
 	return w, nil
 }
 
+// rank gives a request of a caller of w, which may be nil, its rank among those of other
+// workspaces. Calls below it inherit the rank.
+func (h *Handlers) rank(c *call, w *dogtable.Workspace) {
+	if w != nil && h.cfg.Shares != nil {
+		c.lineage.fairRank = 1 + h.cfg.Shares.Rank(w.Name(), c.importance(), dogwoodford.RootFraction(c.lineage.root))
+	}
+}
+
 // takeQuota takes a token of w for one request, and returns a refusal if there is none. w
 // may be nil.
 func (h *Handlers) takeQuota(ctx context.Context, w *dogtable.Workspace) *result {
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -130,3 +130,33 @@
 		t.Errorf("the call belongs to workspace %q, want north", got)
 	}
 }
+
+// fakeShares gives all requests the same rank.
+type fakeShares int
+
+func (f fakeShares) Rank(string, int, float64) int { return int(f) }
+
+// TestRankOfWorkspaces guards against a rank that is lost on the way to the guard or in
+// child calls, where the request would compete with a random one.
+func TestRankOfWorkspaces(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	entry.relay.cfg.Shares = fakeShares(100)
+	table := workspaceTable(t)
+	w, _ := table.WorkspaceNamed("north")
+	route, _ := table.Lookup("h", "/closed/x")
+	c := &call{id: "a1", source: &http.Request{}, body: &body{}}
+	c.lineage = lineageOf(c, route, w, nil)
+	entry.relay.rank(c, w)
+	out := make(http.Header)
+	entry.relay.formatCall(out, c, time.Now())
+	got, err := entry.relay.parseCall(&http.Request{Header: out}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.body = &body{}
+	child := lineageOf(&call{id: "a1.c1"}, route, nil, &run{lineage: got.lineage})
+	want := dogwoodford.Priority(dogwoodford.MaxImportance*dogwoodford.RankCount + 100)
+	if p := got.request().Priority(); p != want || child.fairRank != 101 {
+		t.Errorf("priority %d at the guard, rank %d of a child call; want %d and 101", p, child.fairRank, want)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -27,28 +27,39 @@
 	if importance < 0 || importance > MaxImportance {
 		panic("dogwoodford: importance out of range")
 	}
+	return Priority(importance*RankCount) + Priority(hashRoot(root)>>57)
+}
+
+// hashRoot returns a hash of a customer request, whose top bits are mixed best.
+func hashRoot(root string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(root))
 	// FNV mixes short inputs poorly, so the halves of the sum are folded and
-	// the rank is taken from the top bits of a multiplicative hash.
+	// multiplied.
 	x := h.Sum64()
 	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return Priority(importance*RankCount) + Priority(x>>57)
+	return x * 0x9e3779b97f4a7c15
 }
 
+// RootFraction returns a number in [0, 1) for a customer request, from which NewPriority
+// takes the rank. It is the same at every hop.
+func RootFraction(root string) float64 { return float64(hashRoot(root)>>11) / (1 << 53) }
+
 // Importance returns the importance part of p, in [0, MaxImportance].
 func (p Priority) Importance() int { return int(p) / RankCount }
 
 // RequestSpec lists the fields of a Request.
 type RequestSpec struct {
-	ID          string    // Unique identifier of this call.
-	Root        string    // Identifier of the customer request that this call belongs to.
-	Customer    string    // Customer that the contract belongs to.
-	Service     string    // Service that is called.
-	Class       string    // Class of the contract.
-	Workspace   string    // Workspace of the caller of the root request; empty if there is none.
-	Importance  int       // Importance of the root class, 0 to MaxImportance.
+	ID         string // Unique identifier of this call.
+	Root       string // Identifier of the customer request that this call belongs to.
+	Customer   string // Customer that the contract belongs to.
+	Service    string // Service that is called.
+	Class      string // Class of the contract.
+	Workspace  string // Workspace of the caller of the root request; empty if there is none.
+	Importance int    // Importance of the root class, 0 to MaxImportance.
+	// FairRank is the rank within the importance, plus 1; 0 stands for the rank that
+	// follows from Root.
+	FairRank    int
 	Idempotent  bool      // Whether the call may run more than once.
 	Key         Key       // Key of a non-idempotent call; zero otherwise.
 	Deadline    time.Time // Time after which the response is useless.
@@ -69,7 +80,11 @@
 // NewRequest returns the request that spec describes. It panics if the
 // importance is out of range; parsers must check it first.
 func NewRequest(spec RequestSpec) Request {
-	return Request{spec: spec, priority: NewPriority(spec.Importance, spec.Root)}
+	r := Request{spec: spec, priority: NewPriority(spec.Importance, spec.Root)}
+	if spec.FairRank > 0 {
+		r.priority = Priority(spec.Importance*RankCount + min(spec.FairRank, RankCount) - 1)
+	}
+	return r
 }
 
 // ID returns the unique identifier of this call.
