Freshness: until when the keys of the configuration are trusted

A configuration stayed in force without an end, so that a node that was cut off or suspended would run requests with keys that were removed long before.

dogfresh keeps the version in force with the latest moment, by CLOCK_BOOTTIME, at which it is known to have been the newest. Answers of the store prove the moment before the question; answers of other nodes that moment less the age that a new header tells. The sidecar asks the store and other nodes near the end of the lifetime (/fresh). Keys.Trusted takes the version of the table that routes the request: without it, a request that loaded its table before a suspension would be judged by the version that came into force after it.

Without KeyLifetime nothing changes.

--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -130,4 +130,6 @@
 	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 	ConfigPartlyRead  = define(1818, "config-partly-read", slog.LevelError)
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
+	KeysUntrusted     = define(1820, "keys-untrusted", slog.LevelError)
+	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
 )
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -68,6 +68,7 @@
 	ContractGeneration   = define("contract_generation", LabelledGauge, "customer")
 	ContractsRejected    = define("contracts_rejected", Counter, "contracts")
 	ConfigProblems       = define("config_problems", Gauge, "routes")
+	ConfigAgeMs          = define("config_age_ms", Gauge, "ms")
 	PlatformCalls        = define("platform_calls", Labelled, "call")
 	PlatformErrors       = define("platform_errors", Labelled, "call")
 	PlatformLastAnswerMs = define("platform_last_answer_ms", Gauge, "ms")
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -25,24 +25,38 @@
 	split   *dogtable.Split
 	offers  sync.Mutex             // Held while a configuration is put in force.
 	raw     atomic.Pointer[[]byte] // Unparsed configuration in force, for other nodes.
+	keys    *freshness
 }
 
 // offer puts a value in force if it is valid and newer than the configuration
 // in force. from is its origin in log lines: "store" or the address of a node.
 func (c *configs) offer(value []byte, from string) {
+	if t, spec, ok := c.parse(value, from); ok {
+		c.enforce(t, spec, value, from)
+	}
+}
+
+// parse returns the table of a configuration, false if it is not valid.
+func (c *configs) parse(value []byte, from string) (*dogtable.Table, dogtable.Spec, bool) {
 	spec, err := c.dialect.ParseConfig(value)
 	if err != nil {
 		c.log.event(doglog.ConfigRejected, slog.String("from", from), doglog.Err(err))
-		return
+		return nil, spec, false
 	}
 	t, err := dogtable.New(spec)
 	if err != nil {
 		c.log.event(doglog.ConfigRejected, slog.String("from", from), doglog.Err(err))
-		return
+		return nil, spec, false
 	}
+	return t, spec, true
+}
+
+// enforce puts a valid configuration in force if it is newer than the one in force.
+func (c *configs) enforce(t *dogtable.Table, spec dogtable.Spec, value []byte, from string) {
 	c.offers.Lock()
 	defer c.offers.Unlock()
 	before := c.tables.Version()
+	c.keys.adopt(t.Version()) // Before requests are routed by it.
 	if !c.tables.Offer(t) {
 		return
 	}
@@ -69,27 +83,23 @@
 // newWatcher returns a watcher of the configuration in the store. wait returns
 // how long the next watch call waits for a change.
 func (c *configs) newWatcher(store dogwoodford.Store, wait func() time.Duration) *kindWatcher {
-	kind, name := c.dialect.ConfigObject()
-	take := func(o dogwoodford.Object) {
-		if o.Name == name {
-			c.offer(o.Value, "store")
-		}
-	}
-	return &kindWatcher{
+	kind, _ := c.dialect.ConfigObject()
+	v := &storeView{configs: c}
+	w := &kindWatcher{
 		pause: func() time.Duration { return configPause },
-		kind:  kind, wait: wait, store: store, log: c.log,
-		listed: func(objects []dogwoodford.Object) {
-			for _, o := range objects {
-				take(o)
-			}
-		},
-		changed: func(ch dogwoodford.Change) {
-			// The configuration stays in force if its object is deleted.
-			if !ch.Deleted {
-				take(ch.Object)
-			}
-		},
+		kind:  kind, wait: wait, store: store, log: c.log, listed: v.listed, changed: v.changed,
+	}
+	if c.keys != nil {
+		w.asked, w.answered = v.ask, v.answered
+		// Calls are as far apart as those that would wait for the whole interval.
+		var interval time.Duration
+		w.wait = func() time.Duration {
+			interval = wait()
+			return c.keys.storeWait(interval)
+		}
+		w.rest = func(ctx context.Context) { c.keys.rest(ctx, max(0, interval-freshWait)) }
 	}
+	return w
 }
 
 // serve responds to other nodes with the configuration in force.
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -29,6 +29,7 @@
 	entriesPath = "/entries" // Entries of all known nodes.
 	entryPath   = "/entry"   // Takes the entry of the sender.
 	crashesPath = "/crashes" // Takes reports of crashes.
+	freshPath   = "/fresh"   // How long ago the configuration is known to have been the newest.
 )
 
 const (
@@ -76,6 +77,14 @@
 	store     dogwoodford.Store
 	configs   *configs
 	log       *logger
+	keys      *freshness
+	forFresh  *dogconn.Transport // For questions to many nodes, over connections that are kept.
+}
+
+// response is the answer of another node to a control request.
+type response struct {
+	body    []byte
+	version int64 // Version of its configuration, 0 if it does not tell.
 }
 
 // isAlive reports whether a node answers a ping in any way, including with an
@@ -120,28 +129,35 @@
 // is errOtherNode; no name stands for any. A status other than 200 is an
 // errUnusableResponse.
 func (p *peers) request(ctx context.Context, method, node, addr, path string, body []byte) ([]byte, error) {
+	resp, err := p.exchange(ctx, p.transport, method, node, addr, path, body)
+	return resp.body, err
+}
+
+// exchange is request over a given transport.
+func (p *peers) exchange(ctx context.Context, transport *dogconn.Transport, method, node, addr, path string, body []byte) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
+		return response{}, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
-	resp, _, err := p.transport.Do(req)
+	asked := p.keys.moment()
+	resp, _, err := transport.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
+		return response{}, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was read or is not needed.
 	if name := resp.Header.Get(headerNode); node != "" && name != "" && name != node {
-		return nil, fmt.Errorf("%s %s of %s: answered by %s: %w", method, path, node, name, errOtherNode)
+		return response{}, fmt.Errorf("%s %s of %s: answered by %s: %w", method, path, node, name, errOtherNode)
 	}
+	out := response{version: p.keys.readAnswer(resp.Header, asked)}
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s %s of %s: status %d: %w", method, path, addr, resp.StatusCode, errUnusableResponse)
+		return response{}, fmt.Errorf("%s %s of %s: status %d: %w", method, path, addr, resp.StatusCode, errUnusableResponse)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
+	if out.body, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		return response{}, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
-	return data, nil
+	return out, nil
 }
 
 // probeUnreachable pings unreachable nodes until they accept requests, until ctx ends.
@@ -234,6 +250,9 @@
 		}
 	})
 	mux.HandleFunc(configPath, p.configs.serve)
+	if p.keys != nil {
+		mux.HandleFunc(freshPath, func(http.ResponseWriter, *http.Request) {}) // The header says it all.
+	}
 	mux.HandleFunc("POST "+crashesPath, p.receiveReports)
 	mux.HandleFunc("POST "+entryPath, p.receiveEntry)
 	mux.HandleFunc(entriesPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -243,6 +262,7 @@
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerNode, p.state.settings.Node)
+		p.keys.format(w.Header())
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -73,6 +73,7 @@
 	metrics        *dogmetric.Set
 	state          *state
 	configs        *configs
+	keys           *freshness // Nil if keys are trusted without a bound.
 	peers          *peers
 	announce       *announcer
 	relay          *dogrelay.Handlers
@@ -124,7 +125,8 @@
 	tables := new(dogtable.Holder)
 	split := dogtable.NewSplit(newRand())
 	n.state = newState(settings, n.log, tables.Version)
-	n.configs = &configs{dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split}
+	n.keys = newFreshness(settings.KeyLifetime, bootClock, n.log, n.metrics)
+	n.configs = &configs{dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split, keys: n.keys}
 	liveness := dogconn.Liveness{UnacknowledgedTimeout: unacknowledgedTimeout, ProbeInterval: unacknowledgedTimeout}
 	toPeers := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
@@ -134,12 +136,12 @@
 	forControl := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout, Liveness: liveness,
 	})
-	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log}
+	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log, keys: n.keys, forFresh: toPeers}
 	n.state.probeAlive = n.peers.isAlive
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
 	n.state.setSlots = gate.SetSlots
-	n.relay = dogrelay.New(dogrelay.Config{
+	relayConfig := dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Crashes: n.state, Gate: gate,
@@ -156,7 +158,11 @@
 		}),
 		Log: n.log, Metrics: n.metrics, Lag: n.lag.Lag, MaxInProgress: settings.MemoryBytes / bytesPerRequest,
 		MaxBufferedBytes: settings.MemoryBytes / bufferedMemoryDivisor,
-	})
+	}
+	if n.keys != nil {
+		relayConfig.Keys = n.keys
+	}
+	n.relay = dogrelay.New(relayConfig)
 	n.servers = n.newServers()
 	n.requestServers = n.servers[:2]
 	for _, s := range n.requestServers {
@@ -262,6 +268,9 @@
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
 	sup.Add(dogserve.Func("reload", n.reload))
+	if n.keys != nil {
+		sup.Add(dogserve.Func("fresh", n.peers.keepFresh))
+	}
 	sup.Add(n.lag)
 	for _, s := range n.servers {
 		sup.Add(s)
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"dogwoodford"
@@ -86,6 +87,30 @@
 	return e, version
 }
 
+// randomPeers returns up to n other nodes in random order, and silent ones only if there
+// are no more others.
+func (s *state) randomPeers(n int) []dogfleet.Entry {
+	if n == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out, silent []dogfleet.Entry
+	names := s.fleet.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		e, _, _ := s.fleet.Entry(name)
+		switch {
+		case name == s.settings.Node:
+		case s.fleet.Silent(name):
+			silent = append(silent, e)
+		case len(out) < n:
+			out = append(out, e)
+		}
+	}
+	return append(out, silent[:min(len(silent), n-len(out))]...)
+}
+
 // newEntryWatcher returns a watcher of the entries of all nodes in the store.
 func (s *state) newEntryWatcher(store dogwoodford.Store) *kindWatcher {
 	take := func(o dogwoodford.Object) {
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -49,6 +49,11 @@
 	// onRevision, if set, is called with the new revision of the store after a
 	// watch call that returned no changes of this kind.
 	onRevision func(revision int64)
+	// asked, if set, is called before each call, and answered after the objects or changes
+	// of an answer were passed on.
+	asked, answered func()
+	// rest, if set, sleeps from a watch call without changes to the next.
+	rest func(ctx context.Context)
 
 	mu           sync.Mutex
 	cancelWatch  context.CancelFunc // Cancels the watch; nil while there is none.
@@ -82,6 +87,7 @@
 func (w *kindWatcher) listAndWatch(ctx context.Context, pause *time.Duration) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	call(w.asked)
 	objects, revision, err := w.store.List(listCtx, w.kind)
 	if err != nil {
 		return err
@@ -89,12 +95,15 @@
 	w.recordSuccess(pause)
 	w.lastRevision.Store(revision)
 	w.listed(objects)
+	call(w.answered)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	w.setCancelWatch(stop)
 	defer w.setCancelWatch(nil)
 	for ctx.Err() == nil {
-		changes, next, err := w.store.Watch(ctx, w.kind, w.lastRevision.Load(), w.wait())
+		wait := w.wait()
+		call(w.asked)
+		changes, next, err := w.store.Watch(ctx, w.kind, w.lastRevision.Load(), wait)
 		if err != nil && ctx.Err() != nil {
 			return nil // Cancelled by restartIfBehind.
 		}
@@ -105,17 +114,27 @@
 		for _, c := range changes {
 			w.changed(c)
 		}
+		call(w.answered)
 		before := w.lastRevision.Swap(next)
 		if len(changes) == 0 && next > before && w.onRevision != nil {
 			w.onRevision(next)
 		}
 		if len(changes) > 0 {
 			dogserve.Sleep(ctx, w.pause())
+		} else if w.rest != nil {
+			w.rest(ctx)
 		}
 	}
 	return nil
 }
 
+// call calls f unless it is nil.
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
 func (w *kindWatcher) setCancelWatch(stop context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/request/dogrelay/config.go
+++ b/io/request/dogrelay/config.go
@@ -36,9 +36,17 @@
 // Keys knows whether the keys of the configuration in force may be trusted.
 // Implementations are safe for concurrent use.
 type Keys interface {
-	// Trusted reports whether no key of the configuration in force can have been revoked
-	// for longer than permitted.
-	Trusted() bool
+	// Trusted reports whether no key of this version of the configuration, by which a
+	// request is routed, can have been revoked for longer than permitted.
+	Trusted(version int64) bool
+	// Age returns the version in force and how long ago it is known to have been the
+	// newest, for an answer to another node. It returns false if that is not known, or if
+	// this answer need not tell.
+	Age() (version int64, age time.Duration, ok bool)
+	// Now returns a moment that is not after the present, by the clock of Vouched.
+	Now() time.Duration
+	// Vouched records that another node knows that version was the newest at a moment.
+	Vouched(version int64, moment time.Duration)
 }
 
 // Quotas holds this node's part of the quotas of workspaces. Implementations are safe for
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -64,6 +64,7 @@
 	if res.outcome == dogwoodford.OutcomeRan {
 		h.advised.of(h.cfg.Node).format(w.Header())
 	}
+	h.formatFresh(w.Header())
 	res.writePeer(w, h.cfg.Tables.Version())
 }
 
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -149,11 +149,13 @@
 	h.formatCall(out.Header, c, time.Now())
 	h.advised.of(t.Node).format(out.Header)
 	h.cfg.Fleet.RequestSent(t.Node)
+	asked := h.moment()
 	resp, stage, err := h.cfg.Peers.Do(out)
 	h.cfg.Fleet.RequestEnded(t.Node, err == nil)
 	if err != nil {
 		return h.handlePeerError(ctx, c, t, stage, err)
 	}
+	h.readFresh(ctx, c, t, resp.Header, asked)
 	return h.handlePeerResponse(ctx, c, t, resp)
 }
 
--- a/io/request/dogrelay/workspace.go
+++ b/io/request/dogrelay/workspace.go
@@ -20,7 +20,7 @@
 	if parent != nil || route.Public() || !table.HasWorkspaces() {
 		return nil, nil
 	}
-	if h.cfg.Keys != nil && !h.cfg.Keys.Trusted() {
+	if h.cfg.Keys != nil && !h.cfg.Keys.Trusted(table.Version()) {
 		return nil, refused(dogwoodford.ReasonStaleKeys, staleKeysRetryAfter)
 	}
 	keys := r.Header[h.cfg.Headers.Key]
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -17,9 +17,25 @@
 type fakeKeys struct {
 	trusted bool
 	tokens  int
+
+	version int64         // Version that Trusted was asked for.
+	age     time.Duration // Age of version 2 in answers to other nodes.
+	now     time.Duration
+	vouched []string // Versions and moments that other nodes have vouched for.
+}
+
+func (f *fakeKeys) Trusted(version int64) bool {
+	f.version = version
+	return f.trusted
 }
 
-func (f *fakeKeys) Trusted() bool { return f.trusted }
+func (f *fakeKeys) Age() (int64, time.Duration, bool) { return 2, f.age, f.age > 0 }
+
+func (f *fakeKeys) Now() time.Duration { return f.now }
+
+func (f *fakeKeys) Vouched(version int64, moment time.Duration) {
+	f.vouched = append(f.vouched, fmt.Sprint(version, " ", moment))
+}
 
 func (f *fakeKeys) Take(context.Context, *dogtable.Workspace) (time.Duration, bool) {
 	f.tokens--
