--- a/core/process/dogfresh/doc.go
+++ b/core/process/dogfresh/doc.go
@@ -29,7 +29,7 @@
 //	t.Observe(7, asked-age)        // An answer of another node.
 //	ok := t.Trusted(7, now())      // For a request that is routed by version 7.
 //	version, age, ok := t.Age(now()) // For an answer to another node.
-//	action := t.Next(now())        // What to ask, and when to call Next again.
+//	action := t.Next(now(), nodes) // What to ask, and when to call Next again.
 //
 // The package makes no calls and starts no timers.
 package dogfresh
--- a/core/process/dogfresh/dogfresh_test.go
+++ b/core/process/dogfresh/dogfresh_test.go
@@ -55,7 +55,7 @@
 		v, age, ok := s.tracker.Age(now)
 		return fmt.Sprint(v, " ", age, " ", ok)
 	case "next":
-		a := s.tracker.Next(now)
+		a := s.tracker.Next(now, 1)
 		return fmt.Sprint("store=", a.Store, " peers=", a.Peers)
 	default:
 		t.Fatalf("unknown command %q", w[1])
@@ -88,7 +88,7 @@
 	tr.Adopt(1)
 	tr.Observe(1, 0)
 	for now := time.Duration(0); now < 2*testLifetime; now += time.Millisecond {
-		a := tr.Next(now)
+		a := tr.Next(now, 91)
 		if a.Wait <= 0 || a.Wait > testLifetime {
 			t.Fatalf("at %v: wait %v", now, a.Wait)
 		}
--- a/io/process/dogsidecar/fresh.go
+++ b/io/process/dogsidecar/fresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,7 +12,6 @@
 	"dogwoodford/core/process/dogfresh"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
-	"dogwoodford/io/process/dogserve"
 	"dogwoodford/io/request/dogrelay"
 )
 
@@ -22,6 +22,8 @@
 	freshWait = 400 * time.Millisecond
 	// urgentWait is the same near the end of the lifetime.
 	urgentWait = 50 * time.Millisecond
+	// restJitter is the fraction by which the time between two watch calls varies.
+	restJitter = 0.1
 	// vouchInterval is the least time between two answers to calls that carry the age. A
 	// node that is in use hears of some tens of ages a second so, and reads the clock, which
 	// takes a system call, as often.
@@ -40,6 +42,9 @@
 	reading atomic.Int64 // Latest reading of the clock.
 	// wakeStore receives a value when the store should be asked before its turn.
 	wakeStore chan struct{}
+	// lapsed receives a value when a request finds that the keys are no longer trusted: the
+	// timers of a process that was suspended are late.
+	lapsed chan struct{}
 
 	mu      sync.Mutex
 	tracker *dogfresh.Tracker
@@ -55,7 +60,7 @@
 		return nil
 	}
 	return &freshness{
-		clock: clock, log: log, metrics: metrics, wakeStore: make(chan struct{}, 1),
+		clock: clock, log: log, metrics: metrics, wakeStore: make(chan struct{}, 1), lapsed: make(chan struct{}, 1),
 		tracker: dogfresh.New(dogfresh.Options{Lifetime: lifetime, Rand: newRand()}),
 	}
 }
@@ -81,7 +86,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.read()
-	f.logChange(now)
+	before := f.trusted
+	if f.logChange(now); before && !f.trusted {
+		notify(f.lapsed)
+	}
 	return f.tracker.Trusted(version, now)
 }
 
@@ -135,8 +143,8 @@
 	f.log.event(e, slog.Int64("version", version), slog.Int64("age_ms", age.Milliseconds()), slog.Bool("known", known))
 }
 
-// next returns what to ask now, and reports the age.
-func (f *freshness) next() dogfresh.Action {
+// next returns what to ask now in a fleet of the given number of nodes, and reports the age.
+func (f *freshness) next(nodes int) dogfresh.Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.read()
@@ -144,7 +152,7 @@
 	if _, age, ok := f.tracker.Age(now); ok {
 		f.metrics.Store(dogmetric.ConfigAgeMs, age.Milliseconds())
 	}
-	return f.tracker.Next(now)
+	return f.tracker.Next(now, nodes)
 }
 
 // moment returns the moment before a question, 0 if it is not needed.
@@ -158,25 +166,23 @@
 // storeWait returns how long the next watch call waits, which may be due at the latest
 // after interval.
 func (f *freshness) storeWait(interval time.Duration) time.Duration {
-	if f.next().Store {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tracker.Urgent(f.read()) {
 		return min(interval, urgentWait)
 	}
 	return min(interval, freshWait)
 }
 
-// rest sleeps from one watch call to the next, or until the end of the lifetime is near.
+// rest sleeps for about d from one watch call to the next, or until the store should be
+// asked before. The jitter separates nodes that started together.
 func (f *freshness) rest(ctx context.Context, d time.Duration) {
 	select {
 	case <-f.wakeStore: // Of a time before the last answer.
 	default:
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-f.wakeStore:
-	}
+	jitter := 1 + restJitter*(2*rand.Float64()-1)
+	sleepUntil(ctx, time.Duration(jitter*float64(d)), f.wakeStore)
 }
 
 // format sets the header of an answer to a control request, if the age is known.
@@ -221,12 +227,9 @@
 	defer wg.Wait()
 	slots := make(chan struct{}, maxFreshQuestions)
 	for ctx.Err() == nil {
-		a := p.keys.next()
+		a := p.keys.next(p.state.NodeCount())
 		if a.Store {
-			select {
-			case p.keys.wakeStore <- struct{}{}:
-			default:
-			}
+			notify(p.keys.wakeStore)
 		}
 		for _, e := range p.state.randomPeers(a.Peers) {
 			select {
@@ -238,11 +241,30 @@
 			default: // As many questions have no answer yet.
 			}
 		}
-		dogserve.Sleep(ctx, a.Wait)
+		sleepUntil(ctx, a.Wait, p.keys.lapsed)
 	}
 	return ctx.Err()
 }
 
+// notify sends a value unless one is waiting.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleepUntil sleeps for d, or until ctx ends or there is a value in c.
+func sleepUntil(ctx context.Context, d time.Duration, c <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-c:
+	}
+}
+
 // askFresh asks another node until when its configuration is known to have been the newest.
 // Its answer may also show that there is a newer one.
 func (p *peers) askFresh(ctx context.Context, node, addr string) {
--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -353,6 +353,38 @@
 	}
 }
 
+// TestLapsedBySuspension guards against a node that waits for its timers, which were
+// suspended with it, before it asks the others after a suspension.
+func TestLapsedBySuspension(t *testing.T) {
+	voucher, n := newFreshNode("depot-1"), newFreshNode("rounds-1")
+	defer voucher.logger.close()
+	defer n.logger.close()
+	voucher.keys.observe(3, voucher.clock.read())
+	voucher.configs.offer([]byte("3"), "store")
+	addr := voucher.serve(t)
+	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, 1)
+	n.peers.forFresh = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
+	n.keys.observe(3, n.clock.read())
+	n.configs.offer([]byte("3"), "store")
+	if !n.trusted() {
+		t.Fatal("not trusted at the start")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- n.peers.keepFresh(ctx) }()
+	time.Sleep(50 * time.Millisecond) // It sleeps for 2 s.
+	n.clock.suspend(10 * time.Second)
+	if n.trusted() {
+		t.Error("trusted after a suspension")
+	}
+	time.Sleep(time.Second)
+	if !n.trusted() {
+		t.Error("not trusted a second after a suspension although another node vouches")
+	}
+	cancel()
+	<-done
+}
+
 // TestBootClock guards against a clock that does not advance or differs from the time
 // that passes.
 func TestBootClock(t *testing.T) {
