--- a/io/process/dogsidecar/fresh.go
+++ b/io/process/dogsidecar/fresh.go
@@ -24,10 +24,9 @@
 	urgentWait = 50 * time.Millisecond
 	// restJitter is the fraction by which the time between two watch calls varies.
 	restJitter = 0.1
-	// vouchInterval is the least time between two answers to calls that carry the age. A
-	// node that is in use hears of some tens of ages a second so, and reads the clock, which
-	// takes a system call, as often.
-	vouchInterval = 20 * time.Millisecond
+	// vouchInterval is the least time between two answers to calls that carry the age. It
+	// bounds their bytes and the readings of the clock, each of which takes a system call.
+	vouchInterval = 50 * time.Millisecond
 	// maxFreshQuestions bounds the questions to other nodes that wait for an answer.
 	maxFreshQuestions = 8
 )
--- a/io/request/dogrelay/fresh_test.go
+++ b/io/request/dogrelay/fresh_test.go
@@ -34,6 +34,7 @@
 	entry, guard := newTestNode(t, "entry", "billing", "refuse", time.Second), newTestNode(t, "guard", "rounds", "ok", time.Second)
 	entry.addGuards(guard)
 	asker, voucher := &fakeKeys{trusted: true, tokens: 1, now: time.Minute}, &fakeKeys{trusted: true, age: 3 * time.Second}
+	voucher.told = func() { asker.now += time.Hour }
 	for n, keys := range map[*testNode]*fakeKeys{entry: asker, guard: voucher} {
 		n.relay.cfg.Tables.Offer(workspaceTable(t))
 		n.relay.cfg.Keys = keys
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -21,6 +21,7 @@
 	version int64         // Version that Trusted was asked for.
 	age     time.Duration // Age of version 2 in answers to other nodes.
 	now     time.Duration
+	told    func()   // If set, called when an answer tells the age.
 	vouched []string // Versions and moments that other nodes have vouched for.
 }
 
@@ -29,7 +30,12 @@
 	return f.trusted
 }
 
-func (f *fakeKeys) Age() (int64, time.Duration, bool) { return 2, f.age, f.age > 0 }
+func (f *fakeKeys) Age() (int64, time.Duration, bool) {
+	if f.told != nil {
+		f.told()
+	}
+	return 2, f.age, f.age > 0
+}
 
 func (f *fakeKeys) Now() time.Duration { return f.now }
 
