--- a/core/version/dogtable/workspace.go
+++ b/core/version/dogtable/workspace.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"iter"
+	"maps"
 	"math"
 )
 
@@ -123,15 +125,11 @@
 	return w, ok
 }
 
-// Workspaces calls f for each workspace.
-func (t *Table) Workspaces(f func(*Workspace)) {
-	for _, w := range t.workspaces {
-		f(w)
-	}
-}
-
 // WorkspaceNamed returns the workspace with the given name.
 func (t *Table) WorkspaceNamed(name string) (*Workspace, bool) {
 	w, ok := t.workspaces[name]
 	return w, ok
 }
+
+// Workspaces returns all workspaces.
+func (t *Table) Workspaces() iter.Seq[*Workspace] { return maps.Values(t.workspaces) }
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -132,4 +132,6 @@
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
 	KeysUntrusted     = define(1820, "keys-untrusted", slog.LevelError)
 	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
+	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
+	LenderBack        = define(1831, "lender-back", slog.LevelInfo)
 )
--- a/io/process/dogsidecar/shares.go
+++ b/io/process/dogsidecar/shares.go
@@ -26,9 +26,9 @@
 // setWorkspaces takes the weights of workspaces from a configuration.
 func (s *shares) setWorkspaces(t *dogtable.Table) {
 	var weights []dogshare.Weight
-	t.Workspaces(func(w *dogtable.Workspace) {
+	for w := range t.Workspaces() {
 		weights = append(weights, dogshare.Weight{Name: w.Name(), Weight: w.Rate()})
-	})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shares.SetWeights(weights)
--- a/io/request/dogrelay/call.go
+++ b/io/request/dogrelay/call.go
@@ -40,7 +40,7 @@
 func (c *call) request() dogwoodford.Request {
 	return dogwoodford.NewRequest(dogwoodford.RequestSpec{
 		ID: c.id, Root: c.lineage.root, Service: c.service, Class: c.lineage.class, Hop: c.lineage.hop,
-		Workspace:  c.lineage.workspace, FairRank: c.lineage.fairRank,
+		Workspace: c.lineage.workspace, FairRank: c.lineage.fairRank,
 		Importance: c.importance(),
 		Idempotent: c.kind.Repeatable(),
 		Deadline:   c.deadline, Attempt: c.attempt, ContentSize: c.body.length,
