dogpipeline: handlers run in kept goroutines, and a response is one write

A handler ran in a new goroutine, whose stack grew several times: a thirteenth of the processor time of a hop. Up to 64 goroutines of a server now wait for the next request. Bytes that do not fit the buffer of a connection are written with those in it by one writev. The unread rest of a body takes a buffer only if there is one.

--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -90,11 +90,11 @@
 	if !b.expects.Swap(false) {
 		return nil
 	}
-	bw := b.resp.c.bw // The request runs alone, so that it is its turn.
-	if _, err := io.WriteString(bw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	out := b.resp.c.out // The request runs alone, so that it is its turn.
+	if _, err := io.WriteString(out, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return fmt.Errorf("ask for the body: %w", err)
 	}
-	if err := bw.Flush(); err != nil {
+	if err := out.Flush(); err != nil {
 		return fmt.Errorf("ask for the body: %w", err)
 	}
 	return nil
@@ -135,9 +135,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
-	buf := make([]byte, bufferBytes)
-	for b.err == nil {
-		_, _ = b.read(buf) // Records its error in b.err.
+	if b.err == nil {
+		buf := make([]byte, bufferBytes)
+		for b.err == nil {
+			_, _ = b.read(buf) // Records its error in b.err.
+		}
 	}
 	if b.err != io.EOF {
 		return fmt.Errorf("discard body: %w", b.err)
--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -29,19 +29,16 @@
 	lingerTime = 500 * time.Millisecond
 )
 
-var (
-	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
-	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
-)
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 
 // conn is one connection of a client. The goroutine of serve reads the requests; each
-// of them runs in a goroutine of its own.
+// of them runs in a goroutine of the server's workers.
 type conn struct {
 	srv    *Server
 	rwc    net.Conn
 	src    *source
 	br     *bufio.Reader
-	bw     *bufio.Writer // Used by the response whose turn it is.
+	out    *output // Used by the response whose turn it is.
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -66,9 +63,8 @@
 // serve reads requests until the client or the server ends the connection.
 func (c *conn) serve() {
 	c.br, _ = readers.Get().(*bufio.Reader)
-	c.bw, _ = writers.Get().(*bufio.Writer)
+	c.out = newOutput(c.rwc)
 	c.br.Reset(c.src)
-	c.bw.Reset(c.rwc)
 	last := closedChannel
 	for {
 		resp, err := c.readRequest(last)
@@ -151,7 +147,7 @@
 		c.body.markChecked()
 	}
 	if c.waiting != nil {
-		go c.handle(c.waiting)
+		c.srv.workers.handle(c.waiting)
 		c.waiting = nil
 	}
 }
@@ -337,8 +333,8 @@
 		status = "431 Request Header Fields Too Large"
 	}
 	<-turn
-	_, _ = io.WriteString(c.bw, "HTTP/1.1 "+status+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-	_ = c.bw.Flush() // The client learns the same from the end of the connection.
+	_, _ = io.WriteString(c.out, "HTTP/1.1 "+status+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	_ = c.out.Flush() // The client learns the same from the end of the connection.
 }
 
 // awaitLast waits for the end of the last requests of the connection, or for the
@@ -354,7 +350,7 @@
 
 // finish closes the connection after its last response.
 func (c *conn) finish() {
-	_ = c.bw.Flush() // A failure means that the client is gone.
+	_ = c.out.Flush() // A failure means that the client is gone.
 	if half, ok := c.rwc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil && c.ctx.Err() == nil {
 		_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, c.rwc) // Ends with the client's close or the deadline.
@@ -365,9 +361,8 @@
 		c.body.stop()
 	}
 	c.br.Reset(nil)
-	c.bw.Reset(nil)
 	readers.Put(c.br)
-	writers.Put(c.bw)
+	c.out.free()
 }
 
 // abort closes the connection at once, so that an unfinished response is visibly
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -120,13 +120,13 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
 	}
-	if _, err := fmt.Fprintf(r.c.bw, "HTTP/1.1 %03d %s\r\n", r.status, http.StatusText(r.status)); err != nil {
+	if err := r.c.out.writeStatus(r.status); err != nil {
 		return fmt.Errorf("write status line: %w", err)
 	}
-	if err := h.Write(r.c.bw); err != nil {
+	if err := h.Write(r.c.out); err != nil {
 		return fmt.Errorf("write headers: %w", err)
 	}
-	if _, err := io.WriteString(r.c.bw, "\r\n"); err != nil {
+	if _, err := io.WriteString(r.c.out, "\r\n"); err != nil {
 		return fmt.Errorf("write headers: %w", err)
 	}
 	return nil
@@ -151,7 +151,7 @@
 		r.length = -1
 	default:
 		h["Transfer-Encoding"] = []string{"chunked"}
-		r.chunks = httputil.NewChunkedWriter(r.c.bw)
+		r.chunks = httputil.NewChunkedWriter(r.c.out)
 	}
 	return nil
 }
@@ -177,7 +177,7 @@
 	case r.length >= 0 && r.written+int64(len(p)) > r.length:
 		return 0, http.ErrContentLength
 	}
-	n, err := r.c.bw.Write(p)
+	n, err := r.c.out.Write(p)
 	r.written += int64(n)
 	r.err = err
 	return n, err
@@ -205,11 +205,11 @@
 		if err := closer.Close(); err != nil {
 			return fmt.Errorf("end chunks: %w", err)
 		}
-		if _, err := io.WriteString(r.c.bw, "\r\n"); err != nil { // The end of the trailer.
+		if _, err := io.WriteString(r.c.out, "\r\n"); err != nil { // The end of the trailer.
 			return fmt.Errorf("end chunks: %w", err)
 		}
 	}
-	if err := r.c.bw.Flush(); err != nil {
+	if err := r.c.out.Flush(); err != nil {
 		return fmt.Errorf("flush response: %w", err)
 	}
 	if r.body != nil && !r.last {
--- a/io/connection/dogpipeline/server.go
+++ b/io/connection/dogpipeline/server.go
@@ -29,6 +29,8 @@
 	closing   bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+
+	workers workers
 }
 
 // shutdownPollInterval is the interval at which Shutdown checks for requests in
@@ -99,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
+	s.workers.stop()
 	for ln := range s.listeners {
 		_ = ln.Close() // The error means that it was closed before.
 	}
