dogconn: the look at a kept connection and the wait for its response are one read

A call on a kept connection cost three reads: the look whether the connection is open and has no unread bytes, a first read of the response, which returned no data as a rule, and a second one. The call is now written between the look and the wait within one raw read, so that the poller tells when bytes arrive after the look, and the first read of the response is not needed. A connection that the look rejects is replaced as before.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -70,9 +70,15 @@
 	if err != nil {
 		return nil, dogoutcome.DialFailed, fmt.Errorf("send to %s: %w", req.URL.Host, err)
 	}
-	x := &exchange{pool: t.pool, pconn: pc, writesBefore: pc.conn.writeCount()}
-	x.stopDeadline = context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(pastDeadline) })
+	x := t.newExchange(ctx, pc)
 	resp, err := x.run(req)
+	for errors.Is(err, errUnusable) && x.stopDeadline() {
+		if pc, err = t.pool.replace(ctx, pc); err != nil {
+			return nil, dogoutcome.DialFailed, fmt.Errorf("send to %s: %w", req.URL.Host, err)
+		}
+		x = t.newExchange(ctx, pc)
+		resp, err = x.run(req)
+	}
 	if err != nil {
 		stage := dogoutcome.NothingWritten
 		if !pc.conn.seal(x.writesBefore) {
@@ -87,6 +93,13 @@
 	return resp, dogoutcome.Headers, nil
 }
 
+// newExchange begins a call on pc. The end of ctx aborts it.
+func (t *Transport) newExchange(ctx context.Context, pc *pconn) *exchange {
+	x := &exchange{pool: t.pool, pconn: pc, writesBefore: pc.conn.writeCount()}
+	x.stopDeadline = context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(pastDeadline) })
+	return x
+}
+
 // exchange is one call and its response on a connection.
 type exchange struct {
 	pool         *pool
@@ -101,12 +114,9 @@
 
 // run writes the call and reads the headers of the response.
 func (x *exchange) run(req *http.Request) (*http.Response, error) {
-	if err := x.write(req); err != nil {
-		return nil, err
-	}
-	resp, err := x.read(req)
+	resp, err := x.runHead(req)
 	if err != nil {
-		return nil, fmt.Errorf("read response: %w", err)
+		return nil, err
 	}
 	// After 421 the connection leads to another server than the caller expects.
 	x.keepAlive = !resp.Close && !req.Close && resp.ProtoAtLeast(1, 1) && resp.StatusCode != http.StatusMisdirectedRequest
@@ -120,6 +130,42 @@
 	return resp, nil
 }
 
+// runHead writes the call and reads the headers of the response, whose bytes it bounds.
+func (x *exchange) runHead(req *http.Request) (*http.Response, error) {
+	x.pconn.head.start()
+	defer x.pconn.head.end()
+	if err := x.start(req); err != nil {
+		return nil, err
+	}
+	resp, err := x.read(req)
+	if err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	return resp, nil
+}
+
+// start writes the call. On a connection that was idle it looks first whether the
+// connection is open and has no unread bytes, and then waits for the response: a look and
+// a wait in one read save a system call. The error is errUnusable if nothing was written
+// because of the look.
+func (x *exchange) start(req *http.Request) error {
+	if !x.pconn.used {
+		return x.write(req)
+	}
+	x.pconn.src.beforeWait = func() error { return x.write(req) }
+	_, err := x.pconn.r.Peek(1)
+	if x.pconn.src.beforeWait != nil {
+		x.pconn.src.beforeWait = nil
+		if err == nil {
+			err = errUnusable // Unread bytes were buffered.
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("wait for response: %w", err)
+	}
+	return nil
+}
+
 // write writes the call. A long body is written concurrently with the read of
 // the response, because the server may respond before it has read all of it.
 func (x *exchange) write(req *http.Request) error {
@@ -161,8 +207,6 @@
 
 // read returns the final response. It skips informational (1xx) responses.
 func (x *exchange) read(req *http.Request) (*http.Response, error) {
-	x.pconn.head.start()
-	defer x.pconn.head.end()
 	for {
 		resp, err := http.ReadResponse(x.pconn.r, req)
 		if err != nil {
--- a/io/connection/dogconn/pool.go
+++ b/io/connection/dogconn/pool.go
@@ -3,15 +3,10 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // bufferBytes is the size of the read and write buffers of a connection. It
@@ -41,9 +36,11 @@
 type pconn struct {
 	addr      string
 	conn      *conn
+	src       *source     // Under head.
 	head      *headReader // Under r.
 	r         *bufio.Reader
 	w         *bufio.Writer
+	used      bool      // It has carried a call.
 	idleSince time.Time // End of the last call.
 }
 
@@ -72,20 +69,30 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("wait for a free connection: %w", ctx.Err())
 	}
-	for pc := p.takeIdle(h); pc != nil; pc = p.takeIdle(h) {
-		if pc.usable() {
-			return pc, nil
-		}
-		_ = pc.conn.Close() // It carries no call.
+	return p.next(ctx, h, addr)
+}
+
+// replace closes a connection from get that turned out to be unusable, and returns
+// another one for the same call.
+func (p *pool) replace(ctx context.Context, pc *pconn) (*pconn, error) {
+	_ = pc.conn.Close() // It carries no call.
+	return p.next(ctx, p.host(pc.addr), pc.addr)
+}
+
+// next returns a connection for a call that holds a slot of h.
+func (p *pool) next(ctx context.Context, h *host, addr string) (*pconn, error) {
+	if pc := p.takeIdle(h); pc != nil {
+		return pc, nil
 	}
 	c, err := p.dial(ctx, addr)
 	if err != nil {
 		<-h.slots
 		return nil, err
 	}
-	head := &headReader{r: c}
+	src := newSource(c)
+	head := &headReader{r: src}
 	return &pconn{
-		addr: addr, conn: c, head: head, r: bufio.NewReaderSize(head, bufferBytes), w: bufio.NewWriterSize(c, bufferBytes),
+		addr: addr, conn: c, src: src, head: head, r: bufio.NewReaderSize(head, bufferBytes), w: bufio.NewWriterSize(c, bufferBytes),
 	}, nil
 }
 
@@ -122,7 +129,7 @@
 		_ = pc.conn.Close() // Its call has ended or is abandoned.
 		return
 	}
-	pc.idleSince = time.Now()
+	pc.used, pc.idleSince = true, time.Now()
 	h.idle = append(h.idle, pc)
 	if !h.evictionScheduled {
 		h.evictionScheduled = true
@@ -162,24 +169,3 @@
 		_ = pc.conn.Close() // It carries no call.
 	}
 }
-
-// usable reports whether an idle connection is open and has no unread bytes.
-// Bytes that belong to no call would be read as the next response.
-func (pc *pconn) usable() bool {
-	tcp, ok := pc.conn.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := unix.Read(int(fd), b[:])
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
--- a/io/connection/dogpipeline/source.go
+++ b/io/connection/dogpipeline/source.go
@@ -23,12 +23,18 @@
 	// beforeWait, if set, is called before Read waits for bytes: if there are none yet
 	// and the connection is open, as far as this can be told without waiting.
 	beforeWait func()
+
+	poll    func(fd uintptr) bool // The method pollOnce, allocated once.
+	p       []byte                // What pollOnce reads into.
+	n       int                   // Result of pollOnce.
+	readErr error                 // Result of pollOnce.
 }
 
 var errHeadTooLong = errors.New("request head too long")
 
 func newSource(c net.Conn) *source {
 	s := &source{conn: c}
+	s.poll = s.pollOnce
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			s.raw = raw
@@ -65,21 +71,10 @@
 // readOrNotify is read for connections of the operating system. It costs one system
 // call if bytes are there, as net.Conn.Read does.
 func (s *source) readOrNotify(p []byte) (int, error) {
-	var n int
-	var readErr error
-	err := s.raw.Read(func(fd uintptr) bool {
-		for {
-			n, readErr = unix.Read(int(fd), p)
-			if !errors.Is(readErr, unix.EINTR) {
-				break
-			}
-		}
-		if errors.Is(readErr, unix.EAGAIN) {
-			s.beforeWait()
-			return false
-		}
-		return true
-	})
+	s.p = p
+	err := s.raw.Read(s.poll)
+	n, readErr := s.n, s.readErr
+	s.p, s.n, s.readErr = nil, 0, nil
 	switch {
 	case err != nil:
 		return 0, err
@@ -90,3 +85,18 @@
 	}
 	return n, nil
 }
+
+// pollOnce tries to read and reports whether the read has ended.
+func (s *source) pollOnce(fd uintptr) bool {
+	for {
+		s.n, s.readErr = unix.Read(int(fd), s.p)
+		if s.readErr != unix.EINTR {
+			break
+		}
+	}
+	if s.readErr == unix.EAGAIN {
+		s.beforeWait()
+		return false
+	}
+	return true
+}
