Freshness: no calls of the store in vain; steps of the wall clock, lost answers

The model has steps of the wall clock, and a fault that reads it; the fleet's simulation loses a tenth of the answers.

--- a/core/process/dogfresh/fleet_test.go
+++ b/core/process/dogfresh/fleet_test.go
@@ -1,6 +1,7 @@
 package dogfresh
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -21,6 +22,8 @@
 	fleetPull = 80 * time.Millisecond
 )
 
+var fleetSeed = flag.Uint64("fleet-seed", 1, "seed of TestFleet")
+
 // fleet simulates the nodes of a deployment with an undisturbed network between them. Time
 // advances in steps; all clocks are equal.
 type fleet struct {
@@ -29,6 +32,7 @@
 	nodes   []*fleetNode
 	gossip  float64 // Answers to calls that carry an age, each second at each node.
 	version int64
+	loss    float64          // Share of the answers of other nodes that are lost.
 	refuses func(i int) bool // Whether the store refuses a node.
 
 	calls, questions int
@@ -104,7 +108,7 @@
 
 // hear takes an answer of a node to a question that was sent a round trip ago.
 func (f *fleet) hear(n, from *fleetNode) {
-	if n == from {
+	if n == from || f.rng.Float64() < f.loss {
 		return
 	}
 	n.pace.RecordMessage()
@@ -183,7 +187,7 @@
 		mostCalls float64 // A second, undisturbed.
 	}{{13, 0, 10}, {13, 20, 10}, {91, 0, 64}, {91, 6, 20}, {91, 20, 16}, {590, 20, 95}} {
 		t.Run(fmt.Sprintf("nodes=%d/gossip=%v", tc.nodes, tc.gossip), func(t *testing.T) {
-			f := newFleet(tc.nodes, tc.gossip, 1)
+			f := newFleet(tc.nodes, tc.gossip, *fleetSeed)
 			f.run(10*time.Second, func() {})
 			f.rates(time.Second)
 			f.checkCalm(t, tc.mostCalls)
@@ -222,10 +226,12 @@
 	}
 }
 
-// checkPartlyAway checks that all nodes serve while the store refuses 35% of them.
+// checkPartlyAway checks that all nodes serve while the store refuses 35% of them, and a
+// tenth of the answers between nodes is lost.
 func (f *fleet) checkPartlyAway(t *testing.T) {
 	const d = 9 * time.Second
 	f.refuses = func(i int) bool { return i%20 < 7 }
+	f.loss = 0.1
 	f.rates(d)
 	most := 0
 	f.run(d, func() { most = max(most, f.untrusted()) })
--- a/core/process/dogfresh/model_test.go
+++ b/core/process/dogfresh/model_test.go
@@ -31,6 +31,7 @@
 	agesIgnored               // Another node's answer counts as if its age were 0.
 	agesInRequests            // The age in a question counts as one in an answer.
 	monotonicClock            // Suspensions are not counted.
+	wallClock                 // The wall clock is read, which may be stepped.
 	anyVersion                // An answer renews the version in force, whatever its own.
 	currentVersion            // A request is judged by the version in force, not by its table's.
 	unknownAgeIsZero          // A pulled configuration counts as fresh.
@@ -57,6 +58,7 @@
 type modelNode struct {
 	boot      time.Duration // Offset of the node's clock.
 	suspended time.Duration // Until this time.
+	stepped   time.Duration // Steps of the wall clock.
 	lost      time.Duration // Time spent suspended, which a monotonic clock does not count.
 	cut       time.Duration // No path to the store until then.
 	isolated  time.Duration // No path to other nodes until then.
@@ -117,8 +119,11 @@
 
 // clock returns the reading of a node's clock.
 func (m *model) clock(n *modelNode) time.Duration {
-	if m.mutation == monotonicClock {
+	switch m.mutation {
+	case monotonicClock:
 		return n.boot + m.now - n.lost
+	case wallClock:
+		return n.boot + m.now + n.stepped
 	}
 	return n.boot + m.now
 }
@@ -178,7 +183,7 @@
 		return
 	}
 	long := time.Duration(m.rng.Int64N(int64(12 * time.Second)))
-	switch m.rng.IntN(6) {
+	switch m.rng.IntN(7) {
 	case 0:
 		m.restart(n)
 		return
@@ -192,6 +197,8 @@
 		n.cut, n.isolated = m.now+long, m.now+long
 	case 5:
 		m.away = m.now + long/2
+	case 6:
+		n.stepped += long - 6*time.Second
 	}
 	m.after(time.Duration(m.rng.Int64N(int64(15*time.Second))), func() { m.disturb(n, process) })
 }
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -91,13 +91,16 @@
 	}
 	if c.keys != nil {
 		w.asked, w.answered = v.ask, v.answered
-		// Calls are as far apart as those that would wait for the whole interval.
+		// Calls are as far apart as those that would wait for the whole interval, unless the
+		// time is short and the store can help.
 		var interval time.Duration
 		w.wait = func() time.Duration {
-			interval = wait()
+			if interval = wait(); !v.vouches() {
+				return min(interval, freshWait)
+			}
 			return c.keys.storeWait(interval)
 		}
-		w.rest = func(ctx context.Context) { c.keys.rest(ctx, max(0, interval-freshWait)) }
+		w.rest = func(ctx context.Context) { c.keys.rest(ctx, max(0, interval-freshWait), v.vouches()) }
 	}
 	return w
 }
--- a/io/process/dogsidecar/fresh.go
+++ b/io/process/dogsidecar/fresh.go
@@ -162,8 +162,7 @@
 	return f.read()
 }
 
-// storeWait returns how long the next watch call waits, which may be due at the latest
-// after interval.
+// storeWait returns how long the next watch call waits, at most interval.
 func (f *freshness) storeWait(interval time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -174,14 +173,18 @@
 }
 
 // rest sleeps for about d from one watch call to the next, or until the store should be
-// asked before. The jitter separates nodes that started together.
-func (f *freshness) rest(ctx context.Context, d time.Duration) {
+// asked before if it can help. The jitter separates nodes that started together.
+func (f *freshness) rest(ctx context.Context, d time.Duration, helps bool) {
 	select {
 	case <-f.wakeStore: // Of a time before the last answer.
 	default:
 	}
+	wake := f.wakeStore
+	if !helps {
+		wake = nil
+	}
 	jitter := 1 + restJitter*(2*rand.Float64()-1)
-	sleepUntil(ctx, time.Duration(jitter*float64(d)), f.wakeStore)
+	sleepUntil(ctx, time.Duration(jitter*float64(d)), wake)
 }
 
 // format sets the header of an answer to a control request, if the age is known.
--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -181,6 +181,39 @@
 	})
 }
 
+// TestFreshCallsInVain guards against a node that asks the store more often because it
+// does not trust its keys, although the answers cannot help: there is no configuration.
+func TestFreshCallsInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, f := newFreshNode("rounds-1"), &countingStore{fakeStore: newFakeStore()}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- n.peers.keepFresh(ctx) }()
+		stop := n.watch(t, f)
+		time.Sleep(100 * time.Second)
+		cancel()
+		<-done
+		stop()
+		if f.watches > 68 {
+			t.Errorf("%d watches in 100 s, want at most 68", f.watches)
+		}
+	})
+}
+
+// BenchmarkTrusted measures what the check of a key costs more.
+func BenchmarkTrusted(b *testing.B) {
+	log := newLogger(io.Discard, "rounds-1")
+	defer log.close()
+	f := newFreshness(time.Hour, bootClock, log, dogmetric.NewSet())
+	f.adopt(1)
+	f.observe(1, f.read())
+	for b.Loop() {
+		if !f.Trusted(1) {
+			b.Fatal("not trusted")
+		}
+	}
+}
+
 // countingStore counts watches. It is read after their end.
 type countingStore struct {
 	*fakeStore
--- a/io/process/dogsidecar/storeview.go
+++ b/io/process/dogsidecar/storeview.go
@@ -29,6 +29,10 @@
 	}
 }
 
+// vouches reports whether the store holds a configuration that its answers can renew.
+// Asking it more often is of no use otherwise.
+func (v *storeView) vouches() bool { return v.version > 0 }
+
 // listed takes all objects of a list.
 func (v *storeView) listed(objects []dogwoodford.Object) {
 	_, name := v.configs.dialect.ConfigObject()
