Freshness: of several changes in an answer only the last comes into force

An answer to a watch after a long absence may hold several versions. Each was put in force in turn with the moment before the question, although the answer showed that the earlier ones had been replaced, perhaps minutes before. For as long as it took to parse the next one, and for requests routed meanwhile, keys that it had removed were accepted. TestFreshOfSeveralChanges failed on the code before. Without KeyLifetime changes come into force one by one, as before.

--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -270,6 +270,31 @@
 	}
 }
 
+// TestFreshOfSeveralChanges guards against a version that counts as the newest at the moment
+// before a question although the same answer shows that it had been replaced: a node that
+// was away for long would accept the keys that the later version has removed.
+func TestFreshOfSeveralChanges(t *testing.T) {
+	n := newFreshNode("rounds-1")
+	defer n.logger.close()
+	v := &storeView{configs: n.configs}
+	v.ask()
+	v.listed([]dogwoodford.Object{{Name: "main", Version: 1, Value: []byte("1")}})
+	v.answered()
+	n.clock.suspend(time.Minute)
+	v.ask()
+	for i, value := range []string{"2", "3", "x"} {
+		v.changed(dogwoodford.Change{Object: dogwoodford.Object{Name: "main", Version: int64(i + 2), Value: []byte(value)}})
+		if n.keys.Trusted(2) {
+			t.Errorf("keys of version 2 are trusted after %d changes", i+1)
+		}
+	}
+	v.answered()
+	if n.configs.tables.Version() != 3 || !n.keys.Trusted(3) || n.keys.Trusted(2) {
+		t.Errorf("version %d in force, trusted %v, version 2 trusted %v; want 3, true and false",
+			n.configs.tables.Version(), n.keys.Trusted(3), n.keys.Trusted(2))
+	}
+}
+
 // serve answers control requests of other nodes to n.
 func (n *freshNode) serve(t *testing.T) (addr string) {
 	s := httptest.NewServer(n.peers.handler())
--- a/io/process/dogsidecar/storeview.go
+++ b/io/process/dogsidecar/storeview.go
@@ -14,21 +14,34 @@
 // nothing unless the object is the one that was last read.
 type storeView struct {
 	configs  *configs
-	moment   time.Duration // Moment before the last question.
-	revision int64         // Revision of the object that was last read, 0 if there was none.
-	version  int64         // Version that is in force by it, 0 if that is not known.
+	moment   time.Duration        // Moment before the last question.
+	revision int64                // Revision of the object that was last read, 0 if there was none.
+	changes  []dogwoodford.Object // Changes of the answer, oldest first.
+	version  int64                // Version that is in force by it, 0 if that is not known.
 }
 
 // ask notes the moment before a question.
 func (v *storeView) ask() { v.moment = v.configs.keys.moment() }
 
-// answered records what the answer, whose objects were taken, proves.
+// answered takes the changes of an answer, and records what the answer proves.
 func (v *storeView) answered() {
+	v.takeNewest()
 	if v.version > 0 {
 		v.configs.keys.observe(v.version, v.moment)
 	}
 }
 
+// takeNewest takes the last valid one of the changes. Those before it had been replaced,
+// perhaps long before the question, so that nothing is known of the moments at which they
+// were the newest.
+func (v *storeView) takeNewest() {
+	changes := v.changes
+	v.changes = nil
+	for len(changes) > 0 && !v.take(changes[len(changes)-1]) {
+		changes = changes[:len(changes)-1]
+	}
+}
+
 // vouches reports whether the store holds a configuration that its answers can renew.
 // Asking it more often is of no use otherwise.
 func (v *storeView) vouches() bool { return v.version > 0 }
@@ -45,6 +58,7 @@
 		if o.Version != v.revision {
 			v.version = 0
 		}
+		v.revision = o.Version
 		v.take(o)
 	}
 	if !found {
@@ -52,21 +66,28 @@
 	}
 }
 
-// changed takes a change. The configuration stays in force if its object is deleted.
+// changed notes a change until answered is called, or takes it at once at a node that trusts
+// keys without a bound. The configuration stays in force if its object is deleted.
 func (v *storeView) changed(c dogwoodford.Change) {
-	if _, name := v.configs.dialect.ConfigObject(); c.Object.Name == name && !c.Deleted {
+	if _, name := v.configs.dialect.ConfigObject(); c.Object.Name != name || c.Deleted {
+		return
+	}
+	if v.configs.keys == nil {
 		v.take(c.Object)
+		return
 	}
+	v.revision = c.Object.Version
+	v.changes = append(v.changes, c.Object)
 }
 
-// take puts an object in force if it is valid and newer.
-func (v *storeView) take(o dogwoodford.Object) {
-	v.revision = o.Version
+// take puts an object in force if it is valid and newer, and reports whether it is valid.
+func (v *storeView) take(o dogwoodford.Object) bool {
 	t, spec, ok := v.configs.parse(o.Value, "store")
 	if !ok {
-		return
+		return false
 	}
 	v.version = t.Version()
 	v.configs.keys.observe(v.version, v.moment) // For the moment at which it comes into force.
 	v.configs.enforce(t, spec, o.Value, "store")
+	return true
 }
