Freshness: reads of the configuration use a connection each

The HTTP client cannot tell an answer that arrives twice from that of the next call on the connection. A second copy of an old answer proved the moment before a question that the store had not answered. TestAnswerTwice failed without SeparateReads, which is called only with KeyLifetime set.

--- a/cmd/dogwoodford/sidecar.go
+++ b/cmd/dogwoodford/sidecar.go
@@ -20,6 +20,10 @@
 		return fmt.Errorf("run sidecar: %w", err)
 	}
 	store := platform.NewStore(file.Store)
+	if file.Sidecar.KeyLifetime > 0 {
+		kind, _ := platform.Dialect{}.ConfigObject()
+		store.SeparateReads(kind)
+	}
 	source := dogsidecar.SettingsSource{Signal: hangupSignals(ctx), Read: func() (dogsidecar.Settings, error) {
 		f, err := platform.ReadSettings(path)
 		if err == nil {
