--- a/io/process/dogsidecar/doc.go
+++ b/io/process/dogsidecar/doc.go
@@ -7,6 +7,11 @@
 // unavailable, from the first node that sends a request; it learns the state of
 // the target from the next heartbeat and starts new counts.
 //
+// With Settings.KeyLifetime the node accepts keys only while it knows that its
+// configuration was the newest less than this time ago. It follows the store with shorter
+// watches, asks other nodes near the end of the time, and tells them how old its own
+// knowledge is. Package dogfresh decides this.
+//
 // The package contains no names of the platform. A Dialect and a
 // dogwoodford.Store implement the protocols of callers, targets and the store.
 //
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -251,7 +251,7 @@
 	})
 	mux.HandleFunc(configPath, p.configs.serve)
 	if p.keys != nil {
-		mux.HandleFunc(freshPath, func(http.ResponseWriter, *http.Request) {}) // The header says it all.
+		mux.HandleFunc(freshPath, func(http.ResponseWriter, *http.Request) {}) // The answer is its header.
 	}
 	mux.HandleFunc("POST "+crashesPath, p.receiveReports)
 	mux.HandleFunc("POST "+entryPath, p.receiveEntry)
