--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -181,6 +181,39 @@
 	})
 }
 
+// TestFreshCallsInVain guards against a node that asks the store more often because it
+// does not trust its keys, although the answers cannot help: there is no configuration.
+func TestFreshCallsInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, f := newFreshNode("rounds-1"), &countingStore{fakeStore: newFakeStore()}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- n.peers.keepFresh(ctx) }()
+		stop := n.watch(t, f)
+		time.Sleep(100 * time.Second)
+		cancel()
+		<-done
+		stop()
+		if f.watches > 68 {
+			t.Errorf("%d watches in 100 s, want at most 68", f.watches)
+		}
+	})
+}
+
+// BenchmarkTrusted measures what the check of a key costs more.
+func BenchmarkTrusted(b *testing.B) {
+	log := newLogger(io.Discard, "rounds-1")
+	defer log.close()
+	f := newFreshness(time.Hour, bootClock, log, dogmetric.NewSet())
+	f.adopt(1)
+	f.observe(1, f.read())
+	for b.Loop() {
+		if !f.Trusted(1) {
+			b.Fatal("not trusted")
+		}
+	}
+}
+
 // countingStore counts watches. It is read after their end.
 type countingStore struct {
 	*fakeStore
@@ -237,6 +270,31 @@
 	}
 }
 
+// TestFreshOfSeveralChanges guards against a version that counts as the newest at the moment
+// before a question although the same answer shows that it had been replaced: a node that
+// was away for long would accept the keys that the later version has removed.
+func TestFreshOfSeveralChanges(t *testing.T) {
+	n := newFreshNode("rounds-1")
+	defer n.logger.close()
+	v := &storeView{configs: n.configs}
+	v.ask()
+	v.listed([]dogwoodford.Object{{Name: "main", Version: 1, Value: []byte("1")}})
+	v.answered()
+	n.clock.suspend(time.Minute)
+	v.ask()
+	for i, value := range []string{"2", "3", "x"} {
+		v.changed(dogwoodford.Change{Object: dogwoodford.Object{Name: "main", Version: int64(i + 2), Value: []byte(value)}})
+		if n.keys.Trusted(2) {
+			t.Errorf("keys of version 2 are trusted after %d changes", i+1)
+		}
+	}
+	v.answered()
+	if n.configs.tables.Version() != 3 || !n.keys.Trusted(3) || n.keys.Trusted(2) {
+		t.Errorf("version %d in force, trusted %v, version 2 trusted %v; want 3, true and false",
+			n.configs.tables.Version(), n.keys.Trusted(3), n.keys.Trusted(2))
+	}
+}
+
 // serve answers control requests of other nodes to n.
 func (n *freshNode) serve(t *testing.T) (addr string) {
 	s := httptest.NewServer(n.peers.handler())
