Quotas: tokens lent in advance count until their node asks again

Cause: the most that a bucket held was its burst less the tokens lent in advance, which counted for two seconds although the node that got them had used them.

Change: the lender keeps what each node holds, and forgets it when that node asks again, which it does only without a token.

--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -76,7 +76,7 @@
 	level     float64
 	started   time.Time // Time of the takeover.
 	updated   time.Time
-	lent      lots                 // Tokens lent in advance.
+	lent      holdings             // Tokens lent in advance.
 	promised  time.Time            // Time at which the last promised token is there.
 	refusedAt time.Time            // Time of the last request that got too few tokens.
 	askers    map[string]time.Time // Last requests of nodes while tokens are short.
@@ -114,6 +114,7 @@
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
 	b := l.bucket(now, r.Workspace)
+	b.lent.used(node) // A node asks when it has no token left.
 	if now.Sub(b.refusedAt) < contentionPeriod {
 		return l.lendPart(now, b, node, r)
 	}
@@ -125,20 +126,20 @@
 		b.countAsker(now, node)
 		return Grant{Tokens: n, RetryAfter: l.promise(now, b)}
 	}
-	early := l.lendEarly(now, b, r)
+	early := l.lendEarly(now, b, node, r)
 	return Grant{Tokens: n + early}
 }
 
 // lendEarly lends tokens for the requests of the near future while the bucket is over half
 // full. A node with few requests gets none, as it would rarely use them before they expire.
-func (l *Lender) lendEarly(now time.Time, b *bucket, r Request) int {
+func (l *Lender) lendEarly(now time.Time, b *bucket, node string, r Request) int {
 	spare := int(b.level - b.limit.capacity()/2)
 	if r.Recent < minEarlyRecent || spare <= 0 {
 		return 0
 	}
 	n := min(r.Recent, spare)
 	b.level -= float64(n)
-	b.lent.add(n, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n, now)
 	return n
 }
 
@@ -159,7 +160,7 @@
 	want := r.Waiting + int(float64(r.Recent)*interval)
 	n := min(want, part, int(b.level))
 	b.level -= float64(n)
-	b.lent.add(n-r.Waiting, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n-r.Waiting, now)
 	if n >= want {
 		return Grant{Tokens: n}
 	}
@@ -229,7 +230,7 @@
 
 // trim removes what exceeds the room of the bucket.
 func (b *bucket) trim() {
-	room := b.limit.capacity() - float64(b.lent.expire(b.updated))
+	room := b.limit.capacity() - float64(b.lent.count(b.updated))
 	b.level = min(b.level, max(0, room))
 }
 
