Quotas: lend half of what the bound permits beyond the quota

Cause: of 1,650 requests in a window that the bound permitted, a hot workspace got at most 1,418. What is refused within the bound is a loss for callers.

Change: lenders raise rate and burst by half of the margin; takeovers and fallback buckets use an eighth each in place of a quarter. A bucket that is asked for the first time has filled since the view of the fleet last changed, and does not start almost empty.

--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -43,6 +43,7 @@
 type Lender struct {
 	opts    LenderOptions
 	share   float64
+	since   time.Time // Time from which on this node has lent; zero if it is not known.
 	buckets map[uint64]*bucket
 }
 
@@ -99,6 +100,10 @@
 	l.share = share
 }
 
+// SetSince records the time from which on this node lends, as far as it knows. A bucket that
+// is first asked for later has filled since then.
+func (l *Lender) SetSince(t time.Time) { l.since = t }
+
 // Retain drops the buckets for which keep returns false.
 func (l *Lender) Retain(keep func(workspace uint64) bool) {
 	for id := range l.buckets {
@@ -202,14 +207,19 @@
 // bucket returns the bucket of a workspace with its level at now. A new limit takes
 // effect from now on.
 func (l *Lender) bucket(now time.Time, w Workspace) *bucket {
+	limit := l.opts.Bound.raised(w.Limit)
 	b := l.buckets[w.ID]
 	if b == nil {
-		b = &bucket{limit: w.Limit, level: l.startLevel(w.Limit), started: now, updated: now}
+		start := now
+		if !l.since.IsZero() && l.since.Before(now) {
+			start = l.since
+		}
+		b = &bucket{limit: limit, level: l.startLevel(w.Limit), started: start, updated: start}
 		l.buckets[w.ID] = b
 	}
 	b.refill(now, l.share)
-	if b.limit != w.Limit {
-		b.limit = w.Limit
+	if b.limit != limit {
+		b.limit = limit
 		b.trim()
 		b.promised, b.refusedAt = time.Time{}, time.Time{}
 	}
--- a/core/process/dogquota/limit.go
+++ b/core/process/dogquota/limit.go
@@ -31,14 +31,23 @@
 	return b.Overage*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack
 }
 
+// raised returns the limit that a lender applies to keep to l within the bound.
+func (b Bound) raised(l Limit) Limit {
+	share := 1 + raisedShare*b.Overage
+	return Limit{Rate: l.Rate * share, Burst: l.Burst*share + raisedShare*b.Slack}
+}
+
 const (
 	// startShare is the share of the margin that a lender has when it takes over. Two
-	// takeovers in one window, as after the restart of all nodes, use half of the
+	// takeovers in one window, as after the restart of all nodes, use a quarter of the
 	// margin.
-	startShare = 0.25
+	startShare = 0.125
 	// fallbackShare is the share of the margin that the fallback buckets of all nodes
 	// hold together at first.
-	fallbackShare = 0.25
+	fallbackShare = 0.125
+	// raisedShare is the share of the margin that lenders lend in any case: a request
+	// that the bound permits is not refused for want of precision.
+	raisedShare = 0.5
 )
 
 // WorkspaceID identifies a workspace in messages.
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -74,12 +74,20 @@
 // SetView records a new view of the other nodes.
 func (n *Node) SetView(now time.Time, v View) {
 	n.view = v
+	n.lender.SetSince(latest(now, n.settleUntil))
 	clear(n.rankings)
 	n.borrower.SetNodes(len(v.Known) + 1)
 	n.lender.SetShare(now, 1-float64(v.Silent)/float64(max(len(v.Known), v.Silent)+1))
 	n.lender.Retain(func(id uint64) bool { return n.keepsBucket(now, id) })
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // keepsBucket reports whether the bucket of a workspace may be used from now on. One that
 // was not in use for a time would be full, although another node has lent meanwhile.
 func (n *Node) keepsBucket(now time.Time, workspace uint64) bool {
@@ -102,6 +110,7 @@
 func (n *Node) Settle(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(n.settleUntil) {
 		n.settleUntil = until
+		n.lender.SetSince(until)
 	}
 	n.borrower.dropTokens()
 	n.lender.Retain(func(id uint64) bool { return n.ranking(id).First != n.opts.Name })
