Pace and routing: ramp of a limit, routing by expected completion

Cause: targets were compared by requests in flight alone, so that slow targets got as many as fast ones; the share of a new target grew with the clock.

Change: dogramp finds the limit of a target that starts from its answers; dogadmit applies it with Options.Ramp and reports the service time of its target; dogroute compares targets by expected completion with Options.ByCompletion. Both are off by default. The replay has the policy paced, which switches them on.

--- a/admission.go
+++ b/admission.go
@@ -65,6 +65,16 @@
 	Queued   int      // Waiting requests.
 	Limit    int      // Maximum number of running requests.
 	Cutoff   Priority // Lowest priority that is admitted.
+	// ServiceTime is the recent time of a request at the target without child
+	// calls; 0 if it is not known.
+	ServiceTime time.Duration
+}
+
+// Start describes a target that begins to take requests.
+type Start struct {
+	Fresh bool // The target was started, or is another one; otherwise it has recovered.
+	Cold  bool // The target says that it is still slow.
+	Alone bool // No other target of the service has been ready for longer.
 }
 
 // Admission decides which requests a target runs and in which order. It is
@@ -86,6 +96,8 @@
 	// SetSlots sets the number of requests that the target reports it can run
 	// concurrently.
 	SetSlots(n int)
+	// Restart records that the target has started or recovered.
+	Restart(now time.Time, s Start)
 	// SetRate sets the number of requests that the target takes per second; 0
 	// means that it does not limit them.
 	SetRate(now time.Time, perSecond float64)
--- a/cmd/dogreplay/main.go
+++ b/cmd/dogreplay/main.go
@@ -37,7 +37,7 @@
 		ArgsUsage: "FILE...",
 		Writer:    out,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "policy", Value: "ours", Usage: "ours, none or fixed"},
+			&cli.StringFlag{Name: "policy", Value: "ours", Usage: "ours, none, fixed or paced"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random sources"},
 			&cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"},
 		},
--- a/core/process/dogadmit/admit.go
+++ b/core/process/dogadmit/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogramp"
 )
 
 // Options configure an Admission. Zero fields take the defaults.
@@ -20,12 +21,18 @@
 	// demand is reduced where their root requests enter, by the cutoff that
 	// answers report.
 	ExemptChildCalls bool
+	// Ramp begins a ramp of the limit at each Restart. Without it, Restart has no
+	// effect.
+	Ramp bool
 }
 
 // Admission implements dogwoodford.Admission for one target.
 type Admission struct {
 	opts    Options
 	limiter limiter
+	ramp    dogramp.Ramp
+	alone   bool // The ramp is that of a whole service.
+	service serviceTime
 	rate    rate // As the target asks.
 	queue   queue
 	cutoff  cutoff
@@ -77,7 +84,7 @@
 	if r.Priority() < a.cutoff.value && !exempt {
 		return a.refuse(dogwoodford.ReasonOverload), nil
 	}
-	free := len(a.running) < a.limiter.limit() && a.rate.allows(now)
+	free := len(a.running) < a.limit() && a.rate.allows(now)
 	if free && a.queue.len() == 0 {
 		if a.missesDeadline(now, r, 0) {
 			return a.refuse(dogwoodford.ReasonDeadline), nil
@@ -90,12 +97,18 @@
 		return a.refuse(dogwoodford.ReasonDeadline), nil
 	}
 	maxLen := a.maxQueueLen()
-	if ahead >= maxLen && !exempt {
+	// A first attempt that does not fit may find a place at another target, unless
+	// all have started. A later one has found none.
+	room := maxLen
+	if a.alone || r.Attempt() > 1 {
+		room += a.withheld()
+	}
+	if ahead >= room && !exempt {
 		return a.refuse(dogwoodford.ReasonQueueFull), nil
 	}
 	a.queue.push(now, r)
 	var out []dogwoodford.Dequeued
-	for a.queue.len() > maxLen {
+	for a.queue.len() > maxLen+a.withheld() {
 		last, ok := a.displaceLast()
 		if !ok {
 			break
@@ -122,9 +135,9 @@
 	if _, ok := a.running[id]; !ok {
 		return nil
 	}
-	atLimit := len(a.running) >= a.limiter.limit()
+	atLimit := len(a.running) >= a.limit()
 	delete(a.running, id)
-	a.limiter.observe(now, s, atLimit)
+	a.observe(now, s, atLimit)
 	a.advance(now)
 	return a.fill(now)
 }
@@ -155,6 +168,59 @@
 	}
 }
 
+// Restart begins a ramp of the limit, if Options.Ramp is set; see
+// dogwoodford.Admission. What was measured of another target, or of this one
+// before its restart, no longer holds.
+func (a *Admission) Restart(now time.Time, st dogwoodford.Start) {
+	if !a.opts.Ramp {
+		return
+	}
+	if st.Fresh {
+		a.limiter = newLimiter(a.limiter.slots, a.opts.MinLimit)
+		a.service = serviceTime{}
+	}
+	a.alone = st.Alone
+	a.ramp.Start(now, a.limiter.limit(), dogramp.Conditions{Cold: st.Cold, Alone: st.Alone})
+}
+
+// Ramping reports whether a ramp holds the limit down.
+func (a *Admission) Ramping() bool { return a.ramp.Active() }
+
+// observe records the end of a request that ran.
+func (a *Admission) observe(now time.Time, s dogwoodford.Sample, atLimit bool) {
+	if s.Cancelled {
+		return
+	}
+	if !s.Failed {
+		a.service.observe(now, max(0, s.Latency-s.ChildTime))
+	}
+	if !a.ramp.Active() {
+		a.limiter.observe(now, s, atLimit)
+		return
+	}
+	a.limiter.average(s)
+	a.ramp.Observe(now, dogramp.Answer{
+		Time: max(0, s.Latency-s.ChildTime),
+		// The failure of a child call says nothing about this target.
+		Failed: s.Failed && s.ChildTime == 0,
+	}, a.limiter.limit())
+	if !a.ramp.Active() {
+		a.limiter.setLimit(a.ramp.Limit())
+	}
+}
+
+// limit returns the number of requests that may run concurrently.
+func (a *Admission) limit() int {
+	if a.ramp.Active() {
+		return min(a.limiter.limit(), a.ramp.Limit())
+	}
+	return a.limiter.limit()
+}
+
+// withheld returns the number of places that the ramp takes from the ordinary
+// limit. As many more requests may wait meanwhile.
+func (a *Admission) withheld() int { return a.limiter.limit() - a.limit() }
+
 // SetRate sets the number of requests that the target takes per second; 0 means that
 // it does not limit them.
 func (a *Admission) SetRate(now time.Time, perSecond float64) {
@@ -170,8 +236,10 @@
 	l := dogwoodford.Load{
 		InFlight: len(a.running),
 		Queued:   a.queue.len(),
-		Limit:    a.limiter.limit(),
+		Limit:    a.limit(),
 		Cutoff:   a.cutoff.value,
+
+		ServiceTime: a.service.value(),
 	}
 	if a.rate.limits() {
 		l.Limit = max(1, min(l.Limit, int(a.rate.perSecond*a.limiter.latency.Seconds())))
@@ -192,7 +260,7 @@
 // that would miss their deadlines.
 func (a *Admission) fill(now time.Time) []dogwoodford.Dequeued {
 	var out []dogwoodford.Dequeued
-	for len(a.running) < a.limiter.limit() && a.queue.len() > 0 && a.rate.allows(now) {
+	for len(a.running) < a.limit() && a.queue.len() > 0 && a.rate.allows(now) {
 		e := a.queue.popFirst()
 		if a.missesDeadline(now, e.r, 0) {
 			out = append(out, dogwoodford.Dequeued{ID: e.r.ID(), Verdict: a.refuse(dogwoodford.ReasonDeadline)})
@@ -224,7 +292,9 @@
 }
 
 // interval returns the mean time between the starts of two requests while others wait.
-func (a *Admission) interval() time.Duration { return max(a.limiter.interval(), a.rate.interval()) }
+func (a *Admission) interval() time.Duration {
+	return max(a.limiter.latency/time.Duration(a.limit()), a.rate.interval())
+}
 
 // maxQueueLen returns the number of requests that may wait.
 func (a *Admission) maxQueueLen() int {
@@ -236,7 +306,7 @@
 	}
 	iv := a.interval()
 	if iv <= 0 {
-		return max(minLen, a.limiter.limit())
+		return max(minLen, a.limit())
 	}
 	return max(minLen, int(a.opts.MaxDelay/iv))
 }
@@ -260,5 +330,5 @@
 	if iv := a.interval(); iv > 0 {
 		allowed = int(delay / iv)
 	}
-	a.cutoff.advance(now, a.queue.len(), allowed)
+	a.cutoff.advance(now, a.queue.len(), allowed+a.withheld())
 }
--- a/core/process/dogadmit/limit.go
+++ b/core/process/dogadmit/limit.go
@@ -67,10 +67,6 @@
 
 func (l *limiter) limit() int { return max(l.min, int(l.value)) }
 
-// interval returns the mean time between the ends of two requests while the
-// limit is reached.
-func (l *limiter) interval() time.Duration { return l.latency / time.Duration(l.limit()) }
-
 func (l *limiter) setSlots(n int) {
 	if n == l.slots {
 		return
@@ -83,9 +79,12 @@
 	l.value = min(l.value, float64(n))
 }
 
-// observe records the end of a request. atLimit tells whether the limit was
-// reached.
-func (l *limiter) observe(now time.Time, s dogwoodford.Sample, atLimit bool) {
+// setLimit sets the limit that was found by other means. It holds until the next
+// measurement.
+func (l *limiter) setLimit(n int) { l.value = min(float64(n), float64(l.slots)) }
+
+// average adds a request to the moving averages.
+func (l *limiter) average(s dogwoodford.Sample) {
 	if s.Cancelled || s.Failed {
 		return
 	}
@@ -95,10 +94,19 @@
 	}
 	l.selfTime += (selfTime - l.selfTime) / 32
 	l.latency += (s.Latency - l.latency) / 32
+}
+
+// observe records the end of a request. atLimit tells whether the limit was
+// reached.
+func (l *limiter) observe(now time.Time, s dogwoodford.Sample, atLimit bool) {
+	if s.Cancelled || s.Failed {
+		return
+	}
+	l.average(s)
 	if l.windowStart.IsZero() {
 		l.windowStart = now
 	}
-	l.sum += selfTime.Seconds()
+	l.sum += max(0, s.Latency-s.ChildTime).Seconds()
 	l.n++
 	if atLimit {
 		l.atLimit++
--- a/core/process/dogreplay/clients.go
+++ b/core/process/dogreplay/clients.go
@@ -28,7 +28,7 @@
 		s.after(s.t.client, func() { finish(end, retryAfter) })
 	}
 	s.after(s.t.client, func() {
-		if s.policy == Ours {
+		if s.policy.decides() {
 			n.accept(r, try, reply)
 		} else {
 			n.try(r, class.tree, 1, func(end jobEnd) { reply(end, 0) })
@@ -42,7 +42,7 @@
 func (s *sim) tryEnded(r *request, end jobEnd, retryAfter time.Duration) {
 	class, c := s.t.classes[r.class], s.t.clients
 	if end == answered {
-		r.ok, r.ended = true, true
+		r.ok, r.ended, r.endedAt = true, true, s.now
 		return
 	}
 	// A non-idempotent request is not resent once it may have run.
@@ -64,7 +64,7 @@
 	})
 }
 
-// accept handles a request at the entry under Ours: it charges resends to the
+// accept handles a request at the entry under Ours and Paced: it charges resends to the
 // resend budget of the entry and makes the root call.
 func (n *node) accept(r *request, try int, reply func(jobEnd, time.Duration)) {
 	class, c := n.s.t.classes[r.class], n.s.t.clients
--- a/core/process/dogreplay/result.go
+++ b/core/process/dogreplay/result.go
@@ -137,7 +137,7 @@
 		}
 	}
 	for _, e := range s.t.expectations {
-		if e.policy == s.policy {
+		if e.policy == s.policy || e.policy == Ours && s.policy == Paced {
 			res.Expectations = append(res.Expectations, s.check(t, e))
 		}
 	}
--- a/core/process/dogreplay/sim.go
+++ b/core/process/dogreplay/sim.go
@@ -23,20 +23,26 @@
 	// Fixed has fixed concurrency limits with FIFO queues of 1,000 places and up
 	// to three tries per hop.
 	Fixed
+	// Paced is Ours with the options of the sidecar: targets that start take a
+	// growing share, and targets are compared by expected completion.
+	Paced
 )
 
-// ParsePolicy parses the name of a policy: ours, none or fixed.
+// ParsePolicy parses the name of a policy: ours, none, fixed or paced.
 func ParsePolicy(s string) (Policy, error) {
-	for _, p := range []Policy{Ours, None, Fixed} {
+	for _, p := range []Policy{Ours, None, Fixed, Paced} {
 		if p.String() == s {
 			return p, nil
 		}
 	}
-	return 0, errorf("unknown policy %q: want ours, none or fixed", s)
+	return 0, errorf("unknown policy %q: want ours, none, fixed or paced", s)
 }
 
 // String returns the name of the policy.
-func (p Policy) String() string { return [...]string{"ours", "none", "fixed"}[p] }
+func (p Policy) String() string { return [...]string{"ours", "none", "fixed", "paced"}[p] }
+
+// decides reports whether the nodes use the decision logic of production.
+func (p Policy) decides() bool { return p == Ours || p == Paced }
 
 // Delays until membership changes reach the other nodes (docs/design.md, 5.6),
 // and until a connection reports that a data centre is cut off.
@@ -108,6 +114,7 @@
 	root    string
 	content uint64
 	ok      bool
+	endedAt time.Duration // Time of the answer, if ok.
 	ended   bool
 	spent   time.Duration // Service time over all targets and attempts.
 }
--- a/core/process/dogreplay/target.go
+++ b/core/process/dogreplay/target.go
@@ -29,8 +29,9 @@
 	draining bool
 	started  time.Duration // Time of the last restart within the run; zero if none.
 	busy     int
-	jobs     []*job // In progress, in no particular order.
-	waiting  []*job // Queued in the target because its slots are busy.
+	speed    func() float64 // Factor of the service time; nil for 1.
+	jobs     []*job         // In progress, in no particular order.
+	waiting  []*job         // Queued in the target because its slots are busy.
 
 	// The decision logic; unset under the baselines.
 	adm             dogwoodford.Admission
@@ -69,13 +70,15 @@
 		s: s, name: fmt.Sprintf("%s-%d", svc.name, worker),
 		service: service, index: worker, dc: s.t.dataCentreOf(worker), up: true,
 	}
-	if s.policy != Ours {
+	if !s.policy.decides() {
 		return n
 	}
 	seed := s.choices.Uint64()
 	source := func(k uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, k)) }
-	n.adm = dogadmit.New(dogadmit.Options{Slots: svc.announced, Rand: source(1)})
-	n.router = dogroute.New(dogroute.Options{DataCentre: s.t.dataCentres[n.dc], Rand: source(2)})
+	n.adm = dogadmit.New(dogadmit.Options{Slots: svc.announced, Rand: source(1), Ramp: s.policy == Paced})
+	n.router = dogroute.New(dogroute.Options{
+		DataCentre: s.t.dataCentres[n.dc], Rand: source(2), ByCompletion: s.policy == Paced,
+	})
 	n.table = dogpressure.New(dogpressure.Options{Rand: source(3)})
 	n.pending = make(map[string]*incoming)
 	n.tokens = s.t.clients.resendBurst
@@ -166,6 +169,9 @@
 		warm := float64(age) / float64(svc.cold)
 		x *= svc.coldFactor + (1-svc.coldFactor)*warm
 	}
+	if n.speed != nil {
+		x *= n.speed()
+	}
 	return time.Duration(x * float64(svc.mean))
 }
 
@@ -225,12 +231,32 @@
 	s.scheduleRestart(f, n)
 }
 
+// start describes the start of a target, which is alone if all others of its
+// service are down or have started a short time ago.
+func (s *sim) start(n *node) dogwoodford.Start {
+	st := dogwoodford.Start{Fresh: true, Alone: true}
+	for _, other := range s.byService[n.service] {
+		running := other.up && !other.draining && (other.started == 0 || s.now-other.started > aloneWindow)
+		if other != n && running {
+			st.Alone = false
+		}
+	}
+	return st
+}
+
+// aloneWindow is the time after the start of a target in which it does not count
+// as one that could take the place of another.
+const aloneWindow = 5 * time.Second
+
 // scheduleRestart schedules the restart of a target after a fault. The fault lasts
 // at least two gossip delays, the time in which the other nodes learn of its end.
 func (s *sim) scheduleRestart(f fault, n *node) {
 	restartAt := f.at + max(f.length, 2*gossipDelay)
 	s.after(restartAt, func() {
 		n.up, n.draining, n.started = true, false, s.now
+		if n.adm != nil {
+			n.adm.Restart(s.time(), s.start(n))
+		}
 	})
 	s.after(restartAt+gossipDelay, func() { s.markRestarted(n) })
 }
--- /dev/null
+++ b/core/request/dogroute/completion.go
@@ -0,0 +1,73 @@
+package dogroute
+
+import "dogwoodford"
+
+const (
+	// probeInterval is the number of choices of which one takes a target without
+	// the comparison, if it has room and its report is old. A target that looked
+	// slow is found again when it has become fast.
+	probeInterval = 64
+	// probeTrust is the weight of a report below which it is old.
+	probeTrust = 0.5
+	// maxSpeedRatio bounds the time of a target relative to the mean of its
+	// service. Lasting differences are smaller, and passing ones are in the
+	// requests in flight.
+	maxSpeedRatio = 3
+	// queueingCost is the factor by which requests beyond the limit count more
+	// than those within: they wait, while a slower target with room runs them.
+	queueingCost = 4
+)
+
+// completion returns the expected completion time of one more request, in service
+// times, at a target with busy requests of limit.
+func completion(busy, limit int) float64 {
+	u := float64(busy+1) / float64(limit)
+	return u + queueingCost*max(0, u-1)
+}
+
+// probes reports whether c is chosen without a comparison, to renew its report.
+func (rt *Router) probes(c candidate) bool {
+	return rt.opts.ByCompletion && c.trust < probeTrust && c.utilisation < localSaturation &&
+		rt.opts.Rand.Uint32()%probeInterval == 0
+}
+
+// estimate multiplies the costs of the candidates by the squares of their service
+// times. A single factor equalises the completion times, which still leaves a
+// slow target as many requests in flight as its time permits; the square moves
+// more of them to the fast ones (docs/design/uneven-targets.md). The times that targets reported lose their weight with age, in favour of the mean
+// of the candidates.
+func (rt *Router) estimate(list []candidate) {
+	if !rt.opts.ByCompletion {
+		return
+	}
+	sum, n := 0.0, 0.0
+	for i := range list {
+		if c := &list[i]; c.serviceTime > 0 {
+			sum += c.serviceTime * c.trust
+			n += c.trust
+		}
+	}
+	if sum == 0 {
+		return
+	}
+	mean := sum / n
+	for i := range list {
+		c := &list[i]
+		t := mean
+		if c.serviceTime > 0 {
+			t += c.trust * (c.serviceTime - mean)
+		}
+		t = min(max(t, mean/maxSpeedRatio), mean*maxSpeedRatio)
+		c.cost *= t * t
+	}
+}
+
+// reportedSince reports whether a target has reported its load since it became
+// ready, so that the limit which its guard found holds in place of SlowStart.
+func (rt *Router) reportedSince(t *dogwoodford.Target) bool {
+	if !rt.opts.ByCompletion {
+		return false
+	}
+	n := rt.nodes[t.Node]
+	return n != nil && n.loadAt.After(t.ReadySince)
+}
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -40,6 +40,10 @@
 	// 0 all are considered, which takes time in proportion to their number. If
 	// Sample is set, the lists passed to Pick must not be modified afterwards.
 	Sample int
+	// ByCompletion compares targets by the expected completion time in place of
+	// their utilisation, and applies SlowStart only until the first report of a new
+	// target, whose guard finds its pace.
+	ByCompletion bool
 }
 
 // Router implements dogwoodford.Router for one node.
@@ -71,6 +75,12 @@
 	target      *dogwoodford.Target
 	weight      float64
 	utilisation float64 // Share of the limit in use.
+	// cost orders the candidates: the utilisation, or with ByCompletion a measure of
+	// the expected completion time.
+	cost float64
+	// serviceTime is the reported time of a request in seconds, 0 if there is
+	// none, and trust the weight of it against the mean of the service.
+	serviceTime, trust float64
 }
 
 var _ dogwoodford.Router = (*Router)(nil)
@@ -119,6 +129,7 @@
 		return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
 	}
 	list = rt.admitting(now, r.Priority(), list)
+	rt.estimate(list)
 	local := partition(list, func(c candidate) bool { return c.target.DataCentre == rt.opts.DataCentre })
 	if local > 0 {
 		best := rt.choose(list[:local])
@@ -244,7 +255,7 @@
 
 func (rt *Router) candidate(now time.Time, t *dogwoodford.Target) candidate {
 	c := candidate{target: t, weight: 1}
-	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart {
+	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart && !rt.reportedSince(t) {
 		c.weight = max(0, float64(age)/float64(rt.opts.SlowStart))
 	}
 	if rt.unreachableDC(now, t.DataCentre) {
@@ -259,10 +270,15 @@
 			limit = n.load.Limit
 			reported := n.load.InFlight + n.load.Queued + n.inFlight - n.inFlightAtLoad
 			busy = max(busy, reported)
+			c.serviceTime, c.trust = n.load.ServiceTime.Seconds(), 1-float64(now.Sub(n.loadAt))/float64(maxReportAge)
 		}
 	}
 	c.weight = max(c.weight, minWeight)
 	c.utilisation = float64(busy) / float64(max(1, limit))
+	c.cost = c.utilisation
+	if rt.opts.ByCompletion {
+		c.cost = completion(busy, max(1, limit))
+	}
 	return c
 }
 
@@ -284,7 +300,7 @@
 }
 
 // choose drops candidates at random, so that each stays with a probability in
-// proportion to its weight, draws two of the rest and returns the less utilised.
+// proportion to its weight, draws two of the rest and returns the one of lower cost.
 // Weights must apply before the comparison: a target that does not respond looks
 // idle and would win it.
 func (rt *Router) choose(list []candidate) candidate {
@@ -298,14 +314,14 @@
 	maxWeight := list[0].weight
 	k := partition(list, func(c candidate) bool { return c.weight >= maxWeight || rt.opts.Rand.Float64()*maxWeight < c.weight })
 	a := rt.opts.Rand.IntN(k)
-	if k == 1 {
+	if k == 1 || rt.probes(list[a]) {
 		return list[a]
 	}
 	b := rt.opts.Rand.IntN(k - 1)
 	if b >= a {
 		b++
 	}
-	if list[a].utilisation <= list[b].utilisation {
+	if list[a].cost <= list[b].cost {
 		return list[a]
 	}
 	return list[b]
--- a/io/request/doggate/gate.go
+++ b/io/request/doggate/gate.go
@@ -44,6 +44,13 @@
 	g.admission.SetRate(time.Now(), perSecond)
 }
 
+// Restart records that the target has started or recovered.
+func (g *Gate) Restart(s dogwoodford.Start) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Restart(time.Now(), s)
+}
+
 // Load returns the current load.
 func (g *Gate) Load() dogwoodford.Load {
 	g.mu.Lock()
