Sidecar: ramp of the target's limit, and routing by expected completion

Change: heartbeats that show a start or a recovery begin a ramp (events 1209 and 1210, metric target_ramps). Answers carry the service time of the target in a header of its own.

--- a/admission.go
+++ b/admission.go
@@ -98,6 +98,8 @@
 	SetSlots(n int)
 	// Restart records that the target has started or recovered.
 	Restart(now time.Time, s Start)
+	// Ramping reports whether the limit is held down after a Restart.
+	Ramping() bool
 	// SetRate sets the number of requests that the target takes per second; 0
 	// means that it does not limit them.
 	SetRate(now time.Time, perSecond float64)
--- a/core/process/dogadmit/admit.go
+++ b/core/process/dogadmit/admit.go
@@ -183,7 +183,7 @@
 	a.ramp.Start(now, a.limiter.limit(), dogramp.Conditions{Cold: st.Cold, Alone: st.Alone})
 }
 
-// Ramping reports whether a ramp holds the limit down.
+// Ramping reports whether a ramp holds the limit down; see dogwoodford.Admission.
 func (a *Admission) Ramping() bool { return a.ramp.Active() }
 
 // observe records the end of a request that ran.
--- a/core/process/dogramp/ramp.go
+++ b/core/process/dogramp/ramp.go
@@ -20,8 +20,8 @@
 	MinLimit = 2
 	// minRound and minRoundAnswers are the least duration and number of answers of
 	// a round. The median of fewer answers is too noisy. If all targets of a service
-	// start at once, a round is as many answers as may run at once, as waiting costs
-	// more.
+	// start at once, a round is half as many answers as may run at once, as requests
+	// then wait for it.
 	minRound        = 150 * time.Millisecond
 	minRoundAnswers = 12
 	// maxRound ends a round of a target with few requests.
@@ -134,7 +134,7 @@
 		return n >= MinLimit
 	}
 	if rp.alone {
-		return n >= rp.limit
+		return n >= max(MinLimit, rp.limit/2)
 	}
 	return age >= minRound && n >= min(max(minRoundAnswers, rp.limit), maxRoundAnswers)
 }
--- a/core/process/dogreplay/uneven_test.go
+++ b/core/process/dogreplay/uneven_test.go
@@ -136,7 +136,7 @@
 			for i, n := range s.nodes {
 				n.speed = func() float64 { return []float64{0.6, 1.0, 1.4}[i%3] }
 			}
-		}, 0.93, 0, 0.02},
+		}, 0.96, 0, 0.02},
 		{"speeds 0.6, 1.0 and 1.4, three of each, 8400/s", service(9, 8400, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
 			for i, n := range s.nodes {
 				n.speed = func() float64 { return []float64{0.6, 1.0, 1.4}[i%3] }
--- a/core/request/dogroute/completion.go
+++ b/core/request/dogroute/completion.go
@@ -31,10 +31,8 @@
 		rt.opts.Rand.Uint32()%probeInterval == 0
 }
 
-// estimate multiplies the costs of the candidates by the squares of their service
-// times. A single factor equalises the completion times, which still leaves a
-// slow target as many requests in flight as its time permits; the square moves
-// more of them to the fast ones (docs/design/uneven-targets.md). The times that targets reported lose their weight with age, in favour of the mean
+// estimate multiplies the costs of the candidates by their service times. The
+// times that targets reported lose their weight with age, in favour of the mean
 // of the candidates.
 func (rt *Router) estimate(list []candidate) {
 	if !rt.opts.ByCompletion {
@@ -57,8 +55,7 @@
 		if c.serviceTime > 0 {
 			t += c.trust * (c.serviceTime - mean)
 		}
-		t = min(max(t, mean/maxSpeedRatio), mean*maxSpeedRatio)
-		c.cost *= t * t
+		c.cost *= min(max(t, mean/maxSpeedRatio), mean*maxSpeedRatio)
 	}
 }
 
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -75,8 +75,8 @@
 	target      *dogwoodford.Target
 	weight      float64
 	utilisation float64 // Share of the limit in use.
-	// cost orders the candidates: the utilisation, or with ByCompletion a measure of
-	// the expected completion time.
+	// cost orders the candidates: the utilisation, or with ByCompletion the expected
+	// completion time in seconds.
 	cost float64
 	// serviceTime is the reported time of a request in seconds, 0 if there is
 	// none, and trust the weight of it against the mean of the service.
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -51,6 +51,8 @@
 	LimitChanged       = define(1206, "limit-changed", slog.LevelDebug)
 	CutoffRaised       = define(1207, "cutoff-raised", slog.LevelWarn)
 	CutoffLowered      = define(1208, "cutoff-lowered", slog.LevelInfo)
+	RampStarted        = define(1209, "ramp-started", slog.LevelInfo)
+	RampEnded          = define(1210, "ramp-ended", slog.LevelInfo)
 )
 
 // Events of key ranges: 1300 to 1399.
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -42,6 +42,7 @@
 	TargetLatency   = define("target_latency", Latency, "ms")
 	QueueDelay      = define("queue_delay", Latency, "ms")
 	TargetDeaths    = define("target_deaths", Counter, "deaths")
+	TargetRamps     = define("target_ramps", Counter, "ramps")
 	SuspectsHeld    = define("suspects_held", Gauge, "digests")
 	QuarantinesHeld = define("quarantines_held", Gauge, "digests")
 )
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -137,8 +137,11 @@
 	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log}
 	n.state.probeAlive = n.peers.isAlive
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
-	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
+	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{
+		Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true, Ramp: rampLimit,
+	}))
 	n.state.setSlots = gate.SetSlots
+	n.state.ramps = &rampMonitor{gate: gate, log: n.log, metrics: n.metrics}
 	n.relay = dogrelay.New(dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
@@ -149,6 +152,7 @@
 		Trees: newTrees(),
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
+			ByCompletion: routeByCompletion,
 		})),
 		Peers: toPeers,
 		Target: dogconn.NewTarget(dogconn.Options{
@@ -177,9 +181,16 @@
 
 // slowStart is the time over which the load of a newly started target is
 // increased to its full share. Targets are slow for some seconds after their
-// start.
+// start. With routeByCompletion it only holds until the first report of the target.
 const slowStart = 3 * time.Second
 
+const (
+	// rampLimit lets the guard find the limit of a target that starts or recovers.
+	rampLimit = true
+	// routeByCompletion compares targets by their expected completion time.
+	routeByCompletion = true
+)
+
 // newRand returns a generator of random numbers with a random seed.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -38,6 +38,8 @@
 	probeAlive   func(e dogfleet.Entry) bool // Reports whether a node answers.
 	setSlots     func(n int)                 // Sets the number of requests that the target runs concurrently.
 
+	ramps *rampMonitor // Nil if the limit has no ramps.
+
 	mu            sync.Mutex
 	fleet         *dogfleet.Fleet
 	silence       *dogfleet.SilenceDetector
@@ -75,15 +77,22 @@
 func (s *state) ReceiveHeartbeat(h dogtarget.Heartbeat) dogtarget.Effect {
 	s.mu.Lock()
 	before, known := s.target.LastHeartbeat()
-	wasRunning := s.target.Running()
+	wasRunning, wasReady := s.target.Running(), s.target.State(time.Now()) == dogwoodford.StateReady
 	e := s.target.Observe(time.Now(), h)
 	if e == dogtarget.Accepted && known && wasRunning && (before.ID != h.ID || before.Born != h.Born) {
 		s.targetCrashed()
 	}
 	s.updateTargetState()
+	start, started := dogwoodford.Start{}, false
+	if e == dogtarget.Accepted {
+		start, started = s.startOf(before, h, known, wasReady)
+	}
 	s.mu.Unlock()
 	if e == dogtarget.Accepted {
 		s.setSlots(h.Slots)
+		if started {
+			s.ramps.start(h.ID, start)
+		}
 		if h.Draining {
 			s.awaitDeparture()
 		}
@@ -315,6 +324,7 @@
 // refresh updates what changes without an event: the state of the target when
 // heartbeats are missed, and contents that are suspected together with others.
 func (s *state) refresh() {
+	s.ramps.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateTargetState()
--- a/io/request/doggate/gate.go
+++ b/io/request/doggate/gate.go
@@ -51,6 +51,13 @@
 	g.admission.Restart(time.Now(), s)
 }
 
+// Ramping reports whether the limit is held down after a start of the target.
+func (g *Gate) Ramping() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Ramping()
+}
+
 // Load returns the current load.
 func (g *Gate) Load() dogwoodford.Load {
 	g.mu.Lock()
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -216,6 +216,8 @@
 func (a *admission) SetRate(time.Time, float64) {}
 
 func (a *admission) Restart(time.Time, dogwoodford.Start) {}
+
+func (a *admission) Ramping() bool { return false }
 func (a *admission) Load(time.Time) dogwoodford.Load {
 	return dogwoodford.Load{InFlight: a.running, Queued: len(a.queue), Limit: a.limit}
 }
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -30,6 +30,9 @@
 	// failed because of a child call: their number, and that of the failed ones. It is
 	// a header of its own for the same reason.
 	headerRuns = dogcall.Prefix + "Runs"
+	// headerPace holds the service time of the target in microseconds, if it is known.
+	// It is a header of its own for the same reason.
+	headerPace = dogcall.Prefix + "Pace"
 )
 
 // errPeerHeader is wrapped by all errors about the headers between nodes.
@@ -202,8 +205,29 @@
 	out[headerAnswer] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %d %s", version, int(r.outcome),
 		r.retryAfter.Milliseconds(), boolToInt(r.childFailed), l.InFlight, l.Queued, l.Limit, int(l.Cutoff), int(r.downstreamCutoff), reason)}
 	formatRuns(out, r.runs)
+	formatPace(out, l.ServiceTime)
 }
 
+// formatPace sets headerPace if the service time is known.
+func formatPace(out http.Header, d time.Duration) {
+	if d >= time.Microsecond {
+		out[headerPace] = []string{strconv.FormatInt(d.Microseconds(), 10)}
+	}
+}
+
+// parsePace returns the service time in headerPace, 0 if there is none. A value that
+// cannot be read counts as none, as the choice of a target goes on without it.
+func parsePace(in http.Header) time.Duration {
+	us, err := strconv.ParseInt(in.Get(headerPace), 10, 64)
+	if err != nil || us < 0 || us > maxPace.Microseconds() {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// maxPace bounds the service time that another node may report.
+const maxPace = time.Hour
+
 // runsNumbers is the count of fields in headerRuns.
 const runsNumbers = 2
 
@@ -241,6 +265,7 @@
 		outcome: dogwoodford.Outcome(n[1]), retryAfter: time.Duration(n[2]) * time.Millisecond, childFailed: n[3] > 0,
 		load: &dogwoodford.Load{
 			InFlight: int(n[4]), Queued: int(n[5]), Limit: int(n[6]), Cutoff: dogwoodford.Priority(n[7]),
+			ServiceTime: parsePace(in),
 		},
 		downstreamCutoff: dogwoodford.Priority(n[8]),
 	}
--- a/io/request/dogrelay/header_test.go
+++ b/io/request/dogrelay/header_test.go
@@ -83,7 +83,8 @@
 	}
 	res := &result{
 		outcome: dogwoodford.OutcomeNotRun, reason: dogwoodford.ReasonOverload, retryAfter: 1200 * time.Millisecond,
-		childFailed: true, load: &dogwoodford.Load{InFlight: 1, Queued: 2, Limit: 3, Cutoff: 4}, downstreamCutoff: 5,
+		childFailed: true, load: &dogwoodford.Load{InFlight: 1, Queued: 2, Limit: 3, Cutoff: 4, ServiceTime: 6 * time.Millisecond},
+		downstreamCutoff: 5,
 	}
 	h := make(http.Header)
 	formatAnswer(h, res, 7)
@@ -96,6 +97,24 @@
 	}
 }
 
+// TestPace guards against an answer that is rejected for its service time, which nodes
+// of earlier builds do not send, and against one that no target has.
+func TestPace(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "x": 0, "-1": 0, "1500": 1500 * time.Microsecond, "9223372036854775807": 0,
+	} {
+		h := make(http.Header)
+		formatAnswer(h, &result{load: &dogwoodford.Load{Limit: 3}}, 7)
+		if text != "" {
+			h.Set(headerPace, text)
+		}
+		res, _, err := parseAnswer(h)
+		if err != nil || res.load.ServiceTime != want {
+			t.Errorf("service time %q: %v, error %v, want %v", text, res.load.ServiceTime, err, want)
+		}
+	}
+}
+
 // TestEndToEnd guards against forwarding hop-by-hop headers or headers between
 // nodes, and against dropping others.
 func TestEndToEnd(t *testing.T) {
