--- a/core/request/dogroute/bench_test.go
+++ b/core/request/dogroute/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"dogwoodford"
 )
@@ -30,15 +31,21 @@
 }
 
 // BenchmarkPickSample measures Pick at the same sizes with a sample of the
-// targets.
+// targets, which have reported their loads, and by how targets are compared.
 func BenchmarkPickSample(b *testing.B) {
 	for _, size := range []int{4, 60, 590} {
-		b.Run(fmt.Sprintf("targets=%d", size), func(b *testing.B) {
-			rt, list, r := newSamplingRouter(8), fleet(size, 6), request(0)
-			b.ReportAllocs()
-			for b.Loop() {
-				rt.Pick(start, r, list, nil)
-			}
-		})
+		for _, byCompletion := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/completion=%t", size, byCompletion), func(b *testing.B) {
+				rt, list, r := newSamplingRouter(8), fleet(size, 6), request(0)
+				rt.opts.ByCompletion = byCompletion
+				for i := range list {
+					rt.RecordDispatchEnd(start, list[i].Node, 0, false, &dogwoodford.Load{Limit: 10, ServiceTime: time.Millisecond})
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					rt.Pick(start, r, list, nil)
+				}
+			})
+		}
 	}
 }
