Routing: one lookup of a target's observations a choice; design notes

Change: a candidate holds the observations on its target. The notes on pace and on uneven targets say what was weighed.

--- a/core/process/dogadmit/doc.go
+++ b/core/process/dogadmit/doc.go
@@ -10,6 +10,8 @@
 //     capacity is what can be served within a short time.
 //   - The cutoff rises when requests persistently wait longer than the target
 //     delay, and falls in growing steps once the wait is short again.
+//   - The ramp holds the limit down after a start or a recovery of the target, if
+//     Options.Ramp is set (docs/design/pace.md).
 //   - The rate is the number of requests per second that a target in need takes. Only
 //     the node beside the target sends to it, so that this node alone keeps the rate.
 //
--- a/core/request/dogroute/completion.go
+++ b/core/request/dogroute/completion.go
@@ -38,33 +38,30 @@
 	if !rt.opts.ByCompletion {
 		return
 	}
-	sum, n := 0.0, 0.0
+	sum, weight := 0.0, 0.0
 	for i := range list {
-		if c := &list[i]; c.serviceTime > 0 {
-			sum += c.serviceTime * c.trust
-			n += c.trust
+		if c := &list[i]; c.trust > 0 && c.node.load.ServiceTime > 0 {
+			sum += c.node.load.ServiceTime.Seconds() * c.trust
+			weight += c.trust
 		}
 	}
 	if sum == 0 {
 		return
 	}
-	mean := sum / n
+	mean := sum / weight
 	for i := range list {
 		c := &list[i]
 		t := mean
-		if c.serviceTime > 0 {
-			t += c.trust * (c.serviceTime - mean)
+		if c.trust > 0 && c.node.load.ServiceTime > 0 {
+			t += c.trust * (c.node.load.ServiceTime.Seconds() - mean)
 		}
 		c.cost *= min(max(t, mean/maxSpeedRatio), mean*maxSpeedRatio)
 	}
 }
 
 // reportedSince reports whether a target has reported its load since it became
-// ready, so that the limit which its guard found holds in place of SlowStart.
-func (rt *Router) reportedSince(t *dogwoodford.Target) bool {
-	if !rt.opts.ByCompletion {
-		return false
-	}
-	n := rt.nodes[t.Node]
-	return n != nil && n.loadAt.After(t.ReadySince)
+// ready, so that the limit which its guard found holds in place of SlowStart. n holds
+// the observations on it and may be nil.
+func (rt *Router) reportedSince(t *dogwoodford.Target, n *node) bool {
+	return rt.opts.ByCompletion && n != nil && n.loadAt.After(t.ReadySince)
 }
--- a/core/request/dogroute/doc.go
+++ b/core/request/dogroute/doc.go
@@ -6,6 +6,10 @@
 // observed lower a target's weight at once; reports of the target do not raise
 // it. New targets get their full share after 10 s, draining targets get none.
 //
+// With Options.ByCompletion it compares the expected completion times in place of
+// the utilisation, from the service times that targets report, and new targets get
+// the share that their reported limit permits (docs/design/uneven-targets.md).
+//
 // Content that is not known to have completed on any target goes only to the
 // two targets that rendezvous hashing of its digest picks, so content that
 // crashes its targets reaches few of them.
--- a/core/request/dogroute/rendezvous.go
+++ b/core/request/dogroute/rendezvous.go
@@ -108,7 +108,7 @@
 	case dogwoodford.StateDraining, dogwoodford.StateLeft:
 		return false
 	case dogwoodford.StateReady:
-		return !rt.declined(now, t.Node)
+		return !rt.nodes[t.Node].declined(now)
 	default:
 		return now.Sub(t.LastSeen) <= rt.opts.PresenceTimeout
 	}
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -73,14 +73,15 @@
 // candidate is a target that may be picked.
 type candidate struct {
 	target      *dogwoodford.Target
+	node        *node // Nil without observations.
 	weight      float64
 	utilisation float64 // Share of the limit in use.
 	// cost orders the candidates: the utilisation, or with ByCompletion the expected
 	// completion time in seconds.
 	cost float64
-	// serviceTime is the reported time of a request in seconds, 0 if there is
-	// none, and trust the weight of it against the mean of the service.
-	serviceTime, trust float64
+	// trust is the weight of the reported service time against the mean of the
+	// service; 0 without a recent report.
+	trust float64
 }
 
 var _ dogwoodford.Router = (*Router)(nil)
@@ -146,8 +147,12 @@
 func (rt *Router) candidatesAt(now time.Time, targets []dogwoodford.Target, positions []int32, tried []string) []candidate {
 	list := rt.scratch[:0]
 	for _, i := range positions {
-		if t := &targets[i]; !slices.Contains(tried, t.Node) && !rt.declined(now, t.Node) {
-			list = append(list, rt.candidate(now, t))
+		t := &targets[i]
+		if slices.Contains(tried, t.Node) {
+			continue
+		}
+		if n := rt.nodes[t.Node]; !n.declined(now) {
+			list = append(list, rt.candidate(now, t, n))
 		}
 	}
 	rt.scratch = list
@@ -160,11 +165,11 @@
 	list := rt.scratch[:0]
 	for i := range targets {
 		t := &targets[i]
-		if t.Service != r.Service() || t.State != dogwoodford.StateReady || slices.Contains(tried, t.Node) || rt.declined(now, t.Node) {
+		if t.Service != r.Service() || t.State != dogwoodford.StateReady || slices.Contains(tried, t.Node) {
 			continue
 		}
-		if permitted(t) {
-			list = append(list, rt.candidate(now, t))
+		if n := rt.nodes[t.Node]; !n.declined(now) && permitted(t) {
+			list = append(list, rt.candidate(now, t, n))
 		}
 	}
 	rt.scratch = list
@@ -246,23 +251,24 @@
 	return n.failureRate * math.Exp2(-now.Sub(n.failureRateAt).Seconds()/failureHalfLife.Seconds())
 }
 
-// declined reports whether a node recently reported that it accepts no new
-// requests.
-func (rt *Router) declined(now time.Time, name string) bool {
-	n := rt.nodes[name]
-	return n != nil && n.fresh(now) && n.load.Limit == 0
+// declined reports whether a node, which may be nil, recently reported that it
+// accepts no new requests.
+func (n *node) declined(now time.Time) bool {
+	return n != nil && n.load.Limit == 0 && n.fresh(now)
 }
 
-func (rt *Router) candidate(now time.Time, t *dogwoodford.Target) candidate {
-	c := candidate{target: t, weight: 1}
-	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart && !rt.reportedSince(t) {
+// candidate returns the candidate for a target; n holds the observations on it and
+// may be nil.
+func (rt *Router) candidate(now time.Time, t *dogwoodford.Target, n *node) candidate {
+	c := candidate{target: t, node: n, weight: 1}
+	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart && !rt.reportedSince(t, n) {
 		c.weight = max(0, float64(age)/float64(rt.opts.SlowStart))
 	}
 	if rt.unreachableDC(now, t.DataCentre) {
 		c.weight = minWeight
 	}
 	limit, busy := t.Slots, 0
-	if n := rt.nodes[t.Node]; n != nil {
+	if n != nil {
 		successRate := 1 - n.rate(now)
 		c.weight *= successRate * successRate
 		busy = n.inFlight
@@ -270,7 +276,7 @@
 			limit = n.load.Limit
 			reported := n.load.InFlight + n.load.Queued + n.inFlight - n.inFlightAtLoad
 			busy = max(busy, reported)
-			c.serviceTime, c.trust = n.load.ServiceTime.Seconds(), 1-float64(now.Sub(n.loadAt))/float64(maxReportAge)
+			c.trust = 1 - float64(now.Sub(n.loadAt))/float64(maxReportAge)
 		}
 	}
 	c.weight = max(c.weight, minWeight)
@@ -290,8 +296,8 @@
 // there are none.
 func (rt *Router) admitting(now time.Time, p dogwoodford.Priority, list []candidate) []candidate {
 	k := partition(list, func(c candidate) bool {
-		n := rt.nodes[c.target.Node]
-		return n == nil || !n.fresh(now) || n.load.Cutoff <= p
+		n := c.node
+		return n == nil || n.load.Cutoff <= p || !n.fresh(now)
 	})
 	if k > 0 {
 		return list[:k]
