Admission: the model test covers restarts and later attempts

Cause: the test of lost requests ran without a ramp and with first attempts. Change: it draws restarts and the number of the attempt.

--- a/core/process/dogadmit/admit_test.go
+++ b/core/process/dogadmit/admit_test.go
@@ -237,8 +237,10 @@
 	m.running = append(m.running, id)
 }
 
-func (m *model) offer(id string, importance int, now time.Time) {
-	v, rel := m.a.Offer(now, request(id, importance, now.Add(time.Second)))
+func (m *model) offer(id string, importance, attempt int, now time.Time) {
+	spec := request(id, importance, now.Add(time.Second)).Spec()
+	spec.Attempt = attempt
+	v, rel := m.a.Offer(now, dogwoodford.NewRequest(spec))
 	switch v.Action() {
 	case dogwoodford.Run:
 		m.ran(id)
@@ -282,22 +284,29 @@
 	return n
 }
 
+// restart restarts the target, whose requests go on.
+func (m *model) restart(now time.Time) {
+	m.a.Restart(now, dogwoodford.Start{Fresh: rapid.Bool().Draw(m.t, "fresh"), Alone: rapid.Bool().Draw(m.t, "alone")})
+}
+
 // Guards against lost requests: each one offered must be started, refused or
-// released exactly once, and no more than the slots may run.
+// released exactly once, and no more than the slots may run, also in a ramp.
 func TestEveryRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 5).Draw(t, "slots")
-		m := &model{t: t, a: newAdmission(slots), state: map[string]string{}}
+		m := &model{t: t, a: newRamping(slots), state: map[string]string{}}
 		now := start
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
 			case 0, 1:
-				m.offer(fmt.Sprint(i), rapid.IntRange(0, 7).Draw(t, "importance"), now)
+				m.offer(fmt.Sprint(i), rapid.IntRange(0, 7).Draw(t, "importance"), rapid.IntRange(1, 3).Draw(t, "attempt"), now)
 			case 2:
 				m.done(now)
 			case 3:
 				m.release(m.a.Expire(now))
+			case 4:
+				m.restart(now)
 			}
 			l := m.a.Load(now)
 			if l.InFlight != len(m.running) || l.Queued != m.waiting() || l.InFlight > slots {
