--- a/core/process/dogreplay/uneven_test.go
+++ b/core/process/dogreplay/uneven_test.go
@@ -124,6 +124,16 @@
 			return 1
 		}
 	}
+	// strained targets are slow for 3 s after a start, the more so the more requests
+	// run at once.
+	strained := func(n *node) func() float64 {
+		return func() float64 {
+			if age := n.s.now - n.started; n.started > 0 && age < 3*time.Second {
+				return 1 + float64(n.busy)/5
+			}
+			return 1
+		}
+	}
 	for _, tc := range []struct {
 		name, trace string
 		from, to    time.Duration
@@ -161,6 +171,16 @@
 				s.restartTarget(n, 3*time.Second, time.Second)
 			}
 		}, 1.1, -0.01, 0.02},
+		{"one of 8 starts cold, four times the time at 15 at once for 3 s, 5600/s", service(8, 5600, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
+			s.restartTarget(s.nodes[0], 3*time.Second, time.Second)
+			s.nodes[0].speed = strained(s.nodes[0])
+		}, 1, -0.001, 0.02},
+		{"all 4 restart at once, four times the time at 15 at once for 3 s, 1000/s", service(4, 1000, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
+			for _, n := range s.nodes {
+				s.restartTarget(n, 3*time.Second, time.Second)
+				n.speed = strained(n)
+			}
+		}, 1.1, -0.01, 0.02},
 		{"one of 4 flaps, 600 ms up and 400 ms down, cold, 2000/s", service(4, 2000, cold), 2 * time.Second, 14 * time.Second, func(s *sim) {
 			for i := range 12 {
 				s.restartTarget(s.nodes[0], 2*time.Second+time.Duration(i)*time.Second, 400*time.Millisecond)
--- a/io/process/dogsidecar/ramp_test.go
+++ b/io/process/dogsidecar/ramp_test.go
@@ -1,7 +1,11 @@
 package dogsidecar
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +110,41 @@
 	}
 	return gate.starts, g.Ramping()
 }
+
+// TestRampIsLogged guards against ramps of which nobody learns, and against a line for
+// each check.
+func TestRampIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := newLogger(&out, "rounds-1")
+		g := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: 40, Rand: newRand(), Ramp: true}))
+		m := &rampMonitor{gate: g, log: log, metrics: dogmetric.NewSet()}
+		m.start("a", dogwoodford.Start{Fresh: true})
+		m.check()
+		for i := range 100 {
+			r := dogwoodford.NewRequest(dogwoodford.RequestSpec{ID: fmt.Sprint(i), Deadline: time.Now().Add(time.Second)})
+			if v := g.Enter(t.Context(), r); v.Action() != dogwoodford.Run {
+				t.Fatalf("request %d: %v, want run", i, v.Reason())
+			}
+			time.Sleep(10 * time.Millisecond)
+			g.Leave(r.ID(), dogwoodford.Sample{Latency: 10 * time.Millisecond})
+		}
+		m.check()
+		m.check()
+		log.close()
+		var got []string
+		for line := range strings.Lines(out.String()) {
+			var fields struct {
+				Message string `json:"msg"`
+				Limit   int    `json:"limit"`
+			}
+			if err := json.Unmarshal([]byte(line), &fields); err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, fmt.Sprint(fields.Message, " ", fields.Limit))
+		}
+		if diff := cmp.Diff([]string{"ramp-started 10", "ramp-ended 40"}, got); diff != "" {
+			t.Errorf("log lines (-want +got):\n%s", diff)
+		}
+	})
+}
