Ramp: its end also ends a trial of the limiter

Cause: a trial that was in progress when the target failed ended after the ramp and restored the limit from before. Change: the limit that the ramp found ends the trial and the measurement.

--- a/core/process/dogadmit/limit.go
+++ b/core/process/dogadmit/limit.go
@@ -79,9 +79,13 @@
 	l.value = min(l.value, float64(n))
 }
 
-// setLimit sets the limit that was found by other means. It holds until the next
-// measurement.
-func (l *limiter) setLimit(n int) { l.value = min(float64(n), float64(l.slots)) }
+// setLimit sets the limit that was found by other means, and ends the measurement and
+// the trial in progress.
+func (l *limiter) setLimit(n int) {
+	l.value = min(float64(n), float64(l.slots))
+	l.limitBeforeTrial, l.highCount, l.settling = 0, 0, false
+	l.windowStart, l.sum, l.n, l.atLimit = time.Time{}, 0, 0, 0
+}
 
 // average adds a request to the moving averages.
 func (l *limiter) average(s dogwoodford.Sample) {
--- a/core/process/dogadmit/ramp_test.go
+++ b/core/process/dogadmit/ramp_test.go
@@ -84,6 +84,37 @@
 	}
 }
 
+// Guards against a limit from before a recovery that replaces the one which the ramp
+// found. The target is overcommitted when it fails, and answers slowly above a quarter
+// of its limit afterwards.
+func TestRampReplacesTrial(t *testing.T) {
+	a := newRamping(40)
+	a.limiter.limitBeforeTrial, a.limiter.latencyBeforeTrial, a.limiter.value = 40, 0.02, 32
+	a.Restart(at(0), dogwoodford.Start{})
+	ms := 0
+	answers := func(n int, d time.Duration) {
+		for range n {
+			ms += 10
+			id, now := fmt.Sprint(ms), at(ms)
+			a.Offer(now, request(id, 4, at(3_600_000)))
+			a.Done(now, id, dogwoodford.Sample{Latency: d})
+		}
+	}
+	answers(16, 20*time.Millisecond)
+	answers(80, 35*time.Millisecond)
+	found := a.Load(at(ms)).Limit
+	if a.Ramping() || found != 16 {
+		t.Fatalf("the ramp ended: %t, limit %d, want 16", !a.Ramping(), found)
+	}
+	for i := range found - 1 { // The limit is reached from now on.
+		a.Offer(at(ms), request(fmt.Sprint("long", i), 4, at(3_600_000)))
+	}
+	answers(60, 35*time.Millisecond)
+	if got := a.Load(at(ms)).Limit; got > 2*found {
+		t.Errorf("limit %d half a second after the ramp found %d", got, found)
+	}
+}
+
 // Guards against a reported service time that follows moments of slowness or single slow
 // requests, or that misses a lasting change.
 func TestServiceTime(t *testing.T) {
--- a/core/process/dogreplay/uneven_test.go
+++ b/core/process/dogreplay/uneven_test.go
@@ -21,7 +21,7 @@
 type unevenRun struct {
 	completed float64 // Share of the requests.
 	mean, p99 time.Duration
-	share     []float64 // Of the requests, by target.
+	share     []float64 // Of the requests that run, by target.
 	maxBusy   int       // Most requests in one target at once.
 }
 
@@ -86,7 +86,7 @@
 	return out
 }
 
-// restart restarts a target at a time after an outage of down.
+// restartTarget crashes a target at a time and starts it again after down.
 func (s *sim) restartTarget(n *node, at, down time.Duration) {
 	s.after(at, n.crash)
 	s.after(at+20*time.Millisecond, func() { s.setState(n, dogwoodford.StateFailed, allDataCentres) })
@@ -97,15 +97,32 @@
 	})
 }
 
-// Guards against targets that are compared without their speed, that are flooded
-// or left idle after a start, and that are avoided after a moment of slowness.
-// Each load is run with the options before (ours) and with those of the sidecar
-// (paced); the bounds are on the latter relative to the former. The share of a flapping
-// target is small on purpose.
-func TestTracesUneven(t *testing.T) {
-	// 8 workers of 20 slots at 20 ms serve 8,000 requests per second.
-	service := func(workers int, rate int, extra string) string {
-		return fmt.Sprintf(`run 16s
+// coldStart returns the factor of a target whose requests take x times as long for 3 s
+// after its start.
+func coldStart(n *node, x float64) func() float64 {
+	return func() float64 {
+		if age := n.s.now - n.started; n.started > 0 && age < 3*time.Second {
+			return x
+		}
+		return 1
+	}
+}
+
+// strained returns the factor of a target that is slow for 3 s after its start, the more
+// so the more requests run at once.
+func strained(n *node) func() float64 {
+	return func() float64 {
+		if age := n.s.now - n.started; n.started > 0 && age < 3*time.Second {
+			return 1 + float64(n.busy)/5
+		}
+		return 1
+	}
+}
+
+// unevenService returns a trace of one service with this number of workers, of 20 slots
+// at 20 ms, and a number of requests per second. extra is appended to the service.
+func unevenService(workers, rate int, extra string) string {
+	return fmt.Sprintf(`run 16s
 data-centres a
 delay local 500us client 500us
 service tags workers %d slots 20 time 20ms spread 0.5 %s
@@ -114,26 +131,15 @@
 rate read 0s %d
 clients resends 0
 `, workers, extra, rate)
-	}
+}
+
+// Guards against targets that are compared without their speed, that are flooded
+// or left idle after a start, and that are avoided after a moment of slowness.
+// Each load is run with the options before (ours) and with those of the sidecar
+// (paced); the bounds are on the latter relative to the former. The share of a flapping
+// target is small on purpose.
+func TestTracesUneven(t *testing.T) {
 	const cold = "cold 3s cold-factor 2"
-	step := func(n *node, x float64) func() float64 {
-		return func() float64 {
-			if age := n.s.now - n.started; n.started > 0 && age < 3*time.Second {
-				return x
-			}
-			return 1
-		}
-	}
-	// strained targets are slow for 3 s after a start, the more so the more requests
-	// run at once.
-	strained := func(n *node) func() float64 {
-		return func() float64 {
-			if age := n.s.now - n.started; n.started > 0 && age < 3*time.Second {
-				return 1 + float64(n.busy)/5
-			}
-			return 1
-		}
-	}
 	for _, tc := range []struct {
 		name, trace string
 		from, to    time.Duration
@@ -142,17 +148,17 @@
 		completed   float64 // Bound of the share that completes, less that of ours.
 		minShare    float64 // Bound of the share of the work of each target.
 	}{
-		{"speeds 0.6, 1.0 and 1.4, three of each, 6000/s", service(9, 6000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
+		{"speeds 0.6, 1.0 and 1.4, three of each, 6000/s", unevenService(9, 6000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
 			for i, n := range s.nodes {
 				n.speed = func() float64 { return []float64{0.6, 1.0, 1.4}[i%3] }
 			}
 		}, 0.96, 0, 0.02},
-		{"speeds 0.6, 1.0 and 1.4, three of each, 8400/s", service(9, 8400, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
+		{"speeds 0.6, 1.0 and 1.4, three of each, 8400/s", unevenService(9, 8400, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
 			for i, n := range s.nodes {
 				n.speed = func() float64 { return []float64{0.6, 1.0, 1.4}[i%3] }
 			}
 		}, 1, 0, 0.02},
-		{"five times slower for 600 ms by turns, 8 targets, 4000/s", service(8, 4000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
+		{"five times slower for 600 ms by turns, 8 targets, 4000/s", unevenService(8, 4000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
 			for i, n := range s.nodes {
 				n.speed = func() float64 {
 					if int(s.now/(600*time.Millisecond))%len(s.nodes) == i {
@@ -162,31 +168,31 @@
 				}
 			}
 		}, 1.02, -0.001, 0.02},
-		{"one of 8 starts cold, twice the time for 3 s, 5600/s", service(8, 5600, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
+		{"one of 8 starts cold, twice the time for 3 s, 5600/s", unevenService(8, 5600, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
 			s.restartTarget(s.nodes[0], 3*time.Second, time.Second)
-			s.nodes[0].speed = step(s.nodes[0], 2)
+			s.nodes[0].speed = coldStart(s.nodes[0], 2)
 		}, 1, -0.001, 0.02},
-		{"all 4 restart at once, three times the time at first, 1600/s", service(4, 1600, "cold 3s cold-factor 3"), 4 * time.Second, 9 * time.Second, func(s *sim) {
+		{"all 4 restart at once, three times the time at first, 1600/s", unevenService(4, 1600, "cold 3s cold-factor 3"), 4 * time.Second, 9 * time.Second, func(s *sim) {
 			for _, n := range s.nodes {
 				s.restartTarget(n, 3*time.Second, time.Second)
 			}
 		}, 1.1, -0.01, 0.02},
-		{"one of 8 starts cold, four times the time at 15 at once for 3 s, 5600/s", service(8, 5600, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
+		{"one of 8 starts cold, four times the time at 15 at once for 3 s, 5600/s", unevenService(8, 5600, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
 			s.restartTarget(s.nodes[0], 3*time.Second, time.Second)
 			s.nodes[0].speed = strained(s.nodes[0])
 		}, 1, -0.001, 0.02},
-		{"all 4 restart at once, four times the time at 15 at once for 3 s, 1000/s", service(4, 1000, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
+		{"all 4 restart at once, four times the time at 15 at once for 3 s, 1000/s", unevenService(4, 1000, ""), 4 * time.Second, 9 * time.Second, func(s *sim) {
 			for _, n := range s.nodes {
 				s.restartTarget(n, 3*time.Second, time.Second)
 				n.speed = strained(n)
 			}
 		}, 1.1, -0.01, 0.02},
-		{"one of 4 flaps, 600 ms up and 400 ms down, cold, 2000/s", service(4, 2000, cold), 2 * time.Second, 14 * time.Second, func(s *sim) {
+		{"one of 4 flaps, 600 ms up and 400 ms down, cold, 2000/s", unevenService(4, 2000, cold), 2 * time.Second, 14 * time.Second, func(s *sim) {
 			for i := range 12 {
 				s.restartTarget(s.nodes[0], 2*time.Second+time.Duration(i)*time.Second, 400*time.Millisecond)
 			}
 		}, 1, 0, 0.002},
-		{"one in 30 requests takes seven times as long, 8 targets, 5000/s", service(8, 5000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
+		{"one in 30 requests takes seven times as long, 8 targets, 5000/s", unevenService(8, 5000, ""), 2 * time.Second, 16 * time.Second, func(s *sim) {
 			rng := rand.New(rand.NewPCG(5, 5))
 			for _, n := range s.nodes {
 				n.speed = func() float64 {
