--- a/core/process/dogreplay/replay_test.go
+++ b/core/process/dogreplay/replay_test.go
@@ -71,12 +71,14 @@
 // run in their brief form, so that the race detector covers the replay too.
 func TestTracesBrief(t *testing.T) {
 	for _, name := range []string{"consortium-slow", "consortium-retry"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			tr := parseFile(t, "testdata/traces/"+name+".trace")
-			brief(tr)
-			replay(t, tr, Ours, "")
-		})
+		for _, p := range []Policy{Ours, Paced} {
+			t.Run(name+"/"+p.String(), func(t *testing.T) {
+				t.Parallel()
+				tr := parseFile(t, "testdata/traces/"+name+".trace")
+				brief(tr)
+				replay(t, tr, p, "")
+			})
+		}
 	}
 }
 
@@ -104,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, p := range []Policy{Ours, None, Fixed} {
+	for _, p := range []Policy{Ours, None, Fixed, Paced} {
 		table := func(seed uint64) string {
 			var b strings.Builder
 			if err := Run(tr, p, seed).WriteTable(&b); err != nil {
