--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -120,9 +120,9 @@
 			}
 		}
 	}
-	// A bucket starts with a quarter of what the window may exceed the quota by: 6.
-	if sum := granted[0] + granted[1]; sum != 6 || granted[0] == 0 || granted[1] == 0 {
-		t.Errorf("%v requests granted, want 6 in all and some at each node", granted)
+	// A bucket starts with an eighth of what the window may exceed the quota by: 3.
+	if sum := granted[0] + granted[1]; sum != 3 || granted[0] == 0 || granted[1] == 0 {
+		t.Errorf("%v requests granted, want 3 in all and some at each node", granted)
 	}
 	if sent := messagesOf(f.nodes[0], "ask") + messagesOf(f.nodes[1], "ask"); sent > 10 {
 		t.Errorf("%d messages for 200 requests, want at most 10: nodes refuse by themselves until the hint", sent)
