--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -43,6 +43,7 @@
 type Lender struct {
 	opts    LenderOptions
 	share   float64
+	since   time.Time // Time from which on this node has lent; zero if it is not known.
 	buckets map[uint64]*bucket
 }
 
@@ -79,7 +80,7 @@
 	level     float64
 	started   time.Time // Time of the takeover.
 	updated   time.Time
-	lent      loans                // Tokens lent in advance.
+	lent      holdings             // Tokens lent in advance.
 	promised  time.Time            // Time at which the last promised token is there.
 	refusedAt time.Time            // Time of the last request that got too few tokens.
 	askers    map[string]time.Time // Last requests of nodes while tokens are short.
@@ -102,6 +103,10 @@
 	l.share = share
 }
 
+// SetSince records the time from which on this node lends, as far as it knows. A bucket that
+// is first asked for later has filled since then.
+func (l *Lender) SetSince(t time.Time) { l.since = t }
+
 // Retain drops the buckets for which keep returns false.
 func (l *Lender) Retain(keep func(workspace uint64) bool) {
 	for id := range l.buckets {
@@ -117,10 +122,11 @@
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
 	if !l.Has(r.Workspace.ID) && r.HandedOver {
-		l.bucket(now, r.Workspace).started = now.Add(-takeoverTime)
+		b := l.bucket(now, r.Workspace)
+		b.started = b.started.Add(-takeoverTime)
 	}
 	b := l.bucket(now, r.Workspace)
-	b.lent.used(node)
+	b.lent.used(node) // A node asks when it has no token left.
 	if now.Sub(b.refusedAt) < contentionPeriod {
 		return l.lendPart(now, b, node, r)
 	}
@@ -145,7 +151,7 @@
 	}
 	n := min(r.Recent, spare)
 	b.level -= float64(n)
-	b.lent.add(node, n, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n, now)
 	return n
 }
 
@@ -166,7 +172,7 @@
 	want := r.Waiting + int(float64(r.Recent)*interval)
 	n := min(want, part, int(b.level))
 	b.level -= float64(n)
-	b.lent.add(node, n-r.Waiting, now.Add(TokenLifetime+lotSpacing))
+	b.lent.add(node, n-r.Waiting, now)
 	if n >= want {
 		return Grant{Tokens: n}
 	}
@@ -208,14 +214,19 @@
 // bucket returns the bucket of a workspace with its level at now. A new limit takes
 // effect from now on.
 func (l *Lender) bucket(now time.Time, w Workspace) *bucket {
+	limit := l.opts.Bound.raised(w.Limit)
 	b := l.buckets[w.ID]
 	if b == nil {
-		b = &bucket{limit: w.Limit, level: l.startLevel(w.Limit), started: now, updated: now}
+		start := now
+		if !l.since.IsZero() && l.since.Before(now) {
+			start = l.since
+		}
+		b = &bucket{limit: limit, level: l.startLevel(w.Limit), started: start, updated: start}
 		l.buckets[w.ID] = b
 	}
 	b.refill(now, l.share)
-	if b.limit != w.Limit {
-		b.limit = w.Limit
+	if b.limit != limit {
+		b.limit = limit
 		b.trim()
 		b.promised, b.refusedAt = time.Time{}, time.Time{}
 	}
@@ -236,7 +247,7 @@
 
 // trim removes what exceeds the room of the bucket.
 func (b *bucket) trim() {
-	room := b.limit.capacity() - float64(b.lent.expire(b.updated))
+	room := b.limit.capacity() - float64(b.lent.count(b.updated))
 	b.level = min(b.level, max(0, room))
 }
 
--- a/core/request/dogroute/router.go
+++ b/core/request/dogroute/router.go
@@ -40,6 +40,10 @@
 	// 0 all are considered, which takes time in proportion to their number. If
 	// Sample is set, the lists passed to Pick must not be modified afterwards.
 	Sample int
+	// ByCompletion compares targets by the expected completion time in place of
+	// their utilisation, and applies SlowStart only until the first report of a new
+	// target, whose guard finds its pace.
+	ByCompletion bool
 }
 
 // Router implements dogwoodford.Router for one node.
@@ -69,8 +73,15 @@
 // candidate is a target that may be picked.
 type candidate struct {
 	target      *dogwoodford.Target
+	node        *node // Nil without observations.
 	weight      float64
 	utilisation float64 // Share of the limit in use.
+	// cost orders the candidates: the utilisation, or with ByCompletion the expected
+	// completion time in seconds.
+	cost float64
+	// trust is the weight of the reported service time against the mean of the
+	// service; 0 without a recent report.
+	trust float64
 }
 
 var _ dogwoodford.Router = (*Router)(nil)
@@ -119,6 +130,7 @@
 		return dogwoodford.Target{}, dogwoodford.ReasonNoTarget
 	}
 	list = rt.admitting(now, r.Priority(), list)
+	rt.estimate(list)
 	local := partition(list, func(c candidate) bool { return c.target.DataCentre == rt.opts.DataCentre })
 	if local > 0 {
 		best := rt.choose(list[:local])
@@ -135,8 +147,12 @@
 func (rt *Router) candidatesAt(now time.Time, targets []dogwoodford.Target, positions []int32, tried []string) []candidate {
 	list := rt.scratch[:0]
 	for _, i := range positions {
-		if t := &targets[i]; !slices.Contains(tried, t.Node) && !rt.declined(now, t.Node) {
-			list = append(list, rt.candidate(now, t))
+		t := &targets[i]
+		if slices.Contains(tried, t.Node) {
+			continue
+		}
+		if n := rt.nodes[t.Node]; !n.declined(now) {
+			list = append(list, rt.candidate(now, t, n))
 		}
 	}
 	rt.scratch = list
@@ -149,11 +165,11 @@
 	list := rt.scratch[:0]
 	for i := range targets {
 		t := &targets[i]
-		if t.Service != r.Service() || t.State != dogwoodford.StateReady || slices.Contains(tried, t.Node) || rt.declined(now, t.Node) {
+		if t.Service != r.Service() || t.State != dogwoodford.StateReady || slices.Contains(tried, t.Node) {
 			continue
 		}
-		if permitted(t) {
-			list = append(list, rt.candidate(now, t))
+		if n := rt.nodes[t.Node]; !n.declined(now) && permitted(t) {
+			list = append(list, rt.candidate(now, t, n))
 		}
 	}
 	rt.scratch = list
@@ -235,23 +251,24 @@
 	return n.failureRate * math.Exp2(-now.Sub(n.failureRateAt).Seconds()/failureHalfLife.Seconds())
 }
 
-// declined reports whether a node recently reported that it accepts no new
-// requests.
-func (rt *Router) declined(now time.Time, name string) bool {
-	n := rt.nodes[name]
-	return n != nil && n.fresh(now) && n.load.Limit == 0
+// declined reports whether a node, which may be nil, recently reported that it
+// accepts no new requests.
+func (n *node) declined(now time.Time) bool {
+	return n != nil && n.load.Limit == 0 && n.fresh(now)
 }
 
-func (rt *Router) candidate(now time.Time, t *dogwoodford.Target) candidate {
-	c := candidate{target: t, weight: 1}
-	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart {
+// candidate returns the candidate for a target; n holds the observations on it and
+// may be nil.
+func (rt *Router) candidate(now time.Time, t *dogwoodford.Target, n *node) candidate {
+	c := candidate{target: t, node: n, weight: 1}
+	if age := now.Sub(t.ReadySince); age < rt.opts.SlowStart && !rt.reportedSince(t, n) {
 		c.weight = max(0, float64(age)/float64(rt.opts.SlowStart))
 	}
 	if rt.unreachableDC(now, t.DataCentre) {
 		c.weight = minWeight
 	}
 	limit, busy := t.Slots, 0
-	if n := rt.nodes[t.Node]; n != nil {
+	if n != nil {
 		successRate := 1 - n.rate(now)
 		c.weight *= successRate * successRate
 		busy = n.inFlight
@@ -259,10 +276,15 @@
 			limit = n.load.Limit
 			reported := n.load.InFlight + n.load.Queued + n.inFlight - n.inFlightAtLoad
 			busy = max(busy, reported)
+			c.trust = 1 - float64(now.Sub(n.loadAt))/float64(maxReportAge)
 		}
 	}
 	c.weight = max(c.weight, minWeight)
 	c.utilisation = float64(busy) / float64(max(1, limit))
+	c.cost = c.utilisation
+	if rt.opts.ByCompletion {
+		c.cost = completion(busy, max(1, limit))
+	}
 	return c
 }
 
@@ -274,8 +296,8 @@
 // there are none.
 func (rt *Router) admitting(now time.Time, p dogwoodford.Priority, list []candidate) []candidate {
 	k := partition(list, func(c candidate) bool {
-		n := rt.nodes[c.target.Node]
-		return n == nil || !n.fresh(now) || n.load.Cutoff <= p
+		n := c.node
+		return n == nil || n.load.Cutoff <= p || !n.fresh(now)
 	})
 	if k > 0 {
 		return list[:k]
@@ -284,7 +306,7 @@
 }
 
 // choose drops candidates at random, so that each stays with a probability in
-// proportion to its weight, draws two of the rest and returns the less utilised.
+// proportion to its weight, draws two of the rest and returns the one of lower cost.
 // Weights must apply before the comparison: a target that does not respond looks
 // idle and would win it.
 func (rt *Router) choose(list []candidate) candidate {
@@ -298,14 +320,14 @@
 	maxWeight := list[0].weight
 	k := partition(list, func(c candidate) bool { return c.weight >= maxWeight || rt.opts.Rand.Float64()*maxWeight < c.weight })
 	a := rt.opts.Rand.IntN(k)
-	if k == 1 {
+	if k == 1 || rt.probes(list[a]) {
 		return list[a]
 	}
 	b := rt.opts.Rand.IntN(k - 1)
 	if b >= a {
 		b++
 	}
-	if list[a].utilisation <= list[b].utilisation {
+	if list[a].cost <= list[b].cost {
 		return list[a]
 	}
 	return list[b]
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -51,6 +51,8 @@
 	LimitChanged       = define(1206, "limit-changed", slog.LevelDebug)
 	CutoffRaised       = define(1207, "cutoff-raised", slog.LevelWarn)
 	CutoffLowered      = define(1208, "cutoff-lowered", slog.LevelInfo)
+	RampStarted        = define(1209, "ramp-started", slog.LevelInfo)
+	RampEnded          = define(1210, "ramp-ended", slog.LevelInfo)
 )
 
 // Events of key ranges: 1300 to 1399.
@@ -130,6 +132,8 @@
 	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 	ConfigPartlyRead  = define(1818, "config-partly-read", slog.LevelError)
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
+	KeysUntrusted     = define(1820, "keys-untrusted", slog.LevelError)
+	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
 	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
 	LenderBack        = define(1831, "lender-back", slog.LevelInfo)
 	QuotaFallback     = define(1832, "quota-fallback", slog.LevelWarn)
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -73,6 +73,7 @@
 	metrics        *dogmetric.Set
 	state          *state
 	configs        *configs
+	keys           *freshness // Nil if keys are trusted without a bound.
 	peers          *peers
 	announce       *announcer
 	relay          *dogrelay.Handlers
@@ -125,7 +126,12 @@
 	tables := new(dogtable.Holder)
 	split := dogtable.NewSplit(newRand())
 	n.state = newState(settings, n.log, tables.Version)
-	n.configs = &configs{dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split}
+	n.keys = newFreshness(settings.KeyLifetime, bootClock, n.log, n.metrics)
+	shares := newShares()
+	n.configs = &configs{
+		dialect: dialect, log: n.log, metrics: n.metrics, tables: tables, split: split, keys: n.keys,
+		inForce: []func(*dogtable.Table){shares.setWorkspaces},
+	}
 	liveness := dogconn.Liveness{UnacknowledgedTimeout: unacknowledgedTimeout, ProbeInterval: unacknowledgedTimeout}
 	toPeers := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
@@ -135,22 +141,26 @@
 	forControl := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout, Liveness: liveness,
 	})
-	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log}
+	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log, keys: n.keys, forFresh: toPeers}
 	n.state.probeAlive = n.peers.isAlive
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
-	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
+	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{
+		Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true, Ramp: rampLimit,
+	}))
 	n.state.setSlots = gate.SetSlots
+	n.state.ramps = &rampMonitor{gate: gate, log: n.log, metrics: n.metrics}
 	n.quotas = newQuotas(n, tables, time.Now())
-	n.relay = dogrelay.New(dogrelay.Config{
+	relayConfig := dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Crashes: n.state, Gate: gate,
 		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{
 			Rand: newRand(), UseMean: true, Refresh: cutoffRefreshInterval, RetryByRefusalShare: true,
 		})},
-		Trees: newTrees(), Quotas: n.relayQuotas(),
+		Trees: newTrees(), Shares: shares, Quotas: n.relayQuotas(),
 		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
 			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
+			ByCompletion: routeByCompletion,
 		})),
 		Peers: toPeers,
 		Target: dogconn.NewTarget(dogconn.Options{
@@ -158,7 +168,11 @@
 		}),
 		Log: n.log, Metrics: n.metrics, Lag: n.lag.Lag, MaxInProgress: settings.MemoryBytes / bytesPerRequest,
 		MaxBufferedBytes: settings.MemoryBytes / bufferedMemoryDivisor,
-	})
+	}
+	if n.keys != nil {
+		relayConfig.Keys = n.keys
+	}
+	n.relay = dogrelay.New(relayConfig)
 	n.servers = n.newServers()
 	n.requestServers = n.servers[:2]
 	for _, s := range n.requestServers {
@@ -179,9 +193,16 @@
 
 // slowStart is the time over which the load of a newly started target is
 // increased to its full share. Targets are slow for some seconds after their
-// start.
+// start. With routeByCompletion it only holds until the first report of the target.
 const slowStart = 3 * time.Second
 
+const (
+	// rampLimit lets the guard find the limit of a target that starts or recovers.
+	rampLimit = true
+	// routeByCompletion compares targets by their expected completion time.
+	routeByCompletion = true
+)
+
 // newRand returns a generator of random numbers with a random seed.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
@@ -277,6 +298,9 @@
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
 	sup.Add(dogserve.Func("reload", n.reload))
+	if n.keys != nil {
+		sup.Add(dogserve.Func("fresh", n.peers.keepFresh))
+	}
 	sup.Add(n.lag)
 	if n.quotas != nil {
 		sup.Add(dogserve.Func("quotas", n.quotas.serve))
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -30,6 +30,12 @@
 	// failed because of a child call: their number, and that of the failed ones. It is
 	// a header of its own for the same reason.
 	headerRuns = dogcall.Prefix + "Runs"
+	// headerRank holds the rank of the request within its importance, plus 1. It is
+	// present if the request has a workspace.
+	headerRank = dogcall.Prefix + "Rank"
+	// headerPace holds the service time of the target in microseconds, if it is known.
+	// It is a header of its own for the same reason.
+	headerPace = dogcall.Prefix + "Pace"
 )
 
 // errPeerHeader is wrapped by all errors about the headers between nodes.
@@ -156,6 +162,9 @@
 		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, escapeField(c.lineage.class), h.cfg.Peer,
 		escapeField(c.service), escapeField(c.caller))}
 	h.formatWorkspace(out, c)
+	if c.lineage.fairRank > 0 {
+		out[headerRank] = []string{strconv.Itoa(c.lineage.fairRank)}
+	}
 	if c.cleared {
 		out[headerCleared] = []string{"1"}
 	}
@@ -174,11 +183,22 @@
 	return &call{
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
-		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r)},
+		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r),
+			fairRank: parseRank(r.Header)},
 		content: contentOf(f[3], uint64(n[7])), cleared: r.Header.Get(headerCleared) != "",
 	}, nil
 }
 
+// parseRank returns the rank in headerRank, 0 if there is none or it is malformed: the
+// request then has a random rank.
+func parseRank(in http.Header) int {
+	rank, err := strconv.Atoi(in.Get(headerRank))
+	if err != nil || rank < 0 {
+		return 0
+	}
+	return min(rank, dogwoodford.RankCount)
+}
+
 // answerNumbers and answerTexts are the counts of numeric fields and text fields
 // in headerAnswer.
 const (
@@ -202,8 +222,29 @@
 	out[headerAnswer] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %d %s", version, int(r.outcome),
 		r.retryAfter.Milliseconds(), boolToInt(r.childFailed), l.InFlight, l.Queued, l.Limit, int(l.Cutoff), int(r.downstreamCutoff), reason)}
 	formatRuns(out, r.runs)
+	formatPace(out, l.ServiceTime)
 }
 
+// formatPace sets headerPace if the service time is known.
+func formatPace(out http.Header, d time.Duration) {
+	if d >= time.Microsecond {
+		out[headerPace] = []string{strconv.FormatInt(d.Microseconds(), 10)}
+	}
+}
+
+// parsePace returns the service time in headerPace, 0 if there is none. A value that
+// cannot be read counts as none, as the choice of a target goes on without it.
+func parsePace(in http.Header) time.Duration {
+	us, err := strconv.ParseInt(in.Get(headerPace), 10, 64)
+	if err != nil || us < 0 || us > maxPace.Microseconds() {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// maxPace bounds the service time that another node may report.
+const maxPace = time.Hour
+
 // runsNumbers is the count of fields in headerRuns.
 const runsNumbers = 2
 
@@ -241,6 +282,7 @@
 		outcome: dogwoodford.Outcome(n[1]), retryAfter: time.Duration(n[2]) * time.Millisecond, childFailed: n[3] > 0,
 		load: &dogwoodford.Load{
 			InFlight: int(n[4]), Queued: int(n[5]), Limit: int(n[6]), Cutoff: dogwoodford.Priority(n[7]),
+			ServiceTime: parsePace(in),
 		},
 		downstreamCutoff: dogwoodford.Priority(n[8]),
 	}
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -17,9 +17,31 @@
 type fakeKeys struct {
 	trusted bool
 	tokens  int
+
+	version int64         // Version that Trusted was asked for.
+	age     time.Duration // Age of version 2 in answers to other nodes.
+	now     time.Duration
+	told    func()   // If set, called when an answer tells the age.
+	vouched []string // Versions and moments that other nodes have vouched for.
+}
+
+func (f *fakeKeys) Trusted(version int64) bool {
+	f.version = version
+	return f.trusted
 }
 
-func (f *fakeKeys) Trusted() bool { return f.trusted }
+func (f *fakeKeys) Age() (int64, time.Duration, bool) {
+	if f.told != nil {
+		f.told()
+	}
+	return 2, f.age, f.age > 0
+}
+
+func (f *fakeKeys) Now() time.Duration { return f.now }
+
+func (f *fakeKeys) Vouched(version int64, moment time.Duration) {
+	f.vouched = append(f.vouched, fmt.Sprint(version, " ", moment))
+}
 
 func (f *fakeKeys) Take(context.Context, *dogtable.Workspace) (time.Duration, bool) {
 	f.tokens--
@@ -130,3 +152,33 @@
 		t.Errorf("the call belongs to workspace %q, want north", got)
 	}
 }
+
+// fakeShares gives all requests the same rank.
+type fakeShares int
+
+func (f fakeShares) Rank(string, int, float64) int { return int(f) }
+
+// TestRankOfWorkspaces guards against a rank that is lost on the way to the guard or in
+// child calls, where the request would compete with a random one.
+func TestRankOfWorkspaces(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	entry.relay.cfg.Shares = fakeShares(100)
+	table := workspaceTable(t)
+	w, _ := table.WorkspaceNamed("north")
+	route, _ := table.Lookup("h", "/closed/x")
+	c := &call{id: "a1", source: &http.Request{}, body: &body{}}
+	c.lineage = lineageOf(c, route, w, nil)
+	entry.relay.rank(c, w)
+	out := make(http.Header)
+	entry.relay.formatCall(out, c, time.Now())
+	got, err := entry.relay.parseCall(&http.Request{Header: out}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.body = &body{}
+	child := lineageOf(&call{id: "a1.c1"}, route, nil, &run{lineage: got.lineage})
+	want := dogwoodford.Priority(dogwoodford.MaxImportance*dogwoodford.RankCount + 100)
+	if p := got.request().Priority(); p != want || child.fairRank != 101 {
+		t.Errorf("priority %d at the guard, rank %d of a child call; want %d and 101", p, child.fairRank, want)
+	}
+}
