--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -43,7 +43,6 @@
 type Lender struct {
 	opts    LenderOptions
 	share   float64
-	since   time.Time // Time from which on this node has lent; zero if it is not known.
 	buckets map[uint64]*bucket
 }
 
@@ -57,6 +56,9 @@
 	Workspace Workspace
 	Waiting   int // Requests that wait for a token.
 	Recent    int // Requests of the last second.
+	// Since is the time from which on no other node has lent tokens of the workspace. A
+	// bucket that is first asked for later has filled since then. Zero if it is not known.
+	Since time.Time
 	// HandedOver tells that another node has lent up to now and has not failed, so that
 	// no node uses its fallback bucket.
 	HandedOver bool
@@ -103,10 +105,6 @@
 	l.share = share
 }
 
-// SetSince records the time from which on this node lends, as far as it knows. A bucket that
-// is first asked for later has filled since then.
-func (l *Lender) SetSince(t time.Time) { l.since = t }
-
 // Retain drops the buckets for which keep returns false.
 func (l *Lender) Retain(keep func(workspace uint64) bool) {
 	for id := range l.buckets {
@@ -116,15 +114,15 @@
 	}
 }
 
+// Drop drops the bucket of a workspace.
+func (l *Lender) Drop(workspace uint64) { delete(l.buckets, workspace) }
+
 // Has reports whether there is a bucket for a workspace.
 func (l *Lender) Has(workspace uint64) bool { return l.buckets[workspace] != nil }
 
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
-	if !l.Has(r.Workspace.ID) && r.HandedOver {
-		b := l.bucket(now, r.Workspace)
-		b.started = b.started.Add(-takeoverTime)
-	}
+	l.open(now, r)
 	b := l.bucket(now, r.Workspace)
 	b.lent.used(node) // A node asks when it has no token left.
 	if now.Sub(b.refusedAt) < contentionPeriod {
@@ -155,7 +153,7 @@
 	return n
 }
 
-// Credit gives back tokens of requests that have not run.
+// Credit gives back tokens of requests that have not run. The bucket must be open.
 func (l *Lender) Credit(now time.Time, w Workspace, n int) {
 	b := l.bucket(now, w)
 	b.level += float64(n)
@@ -211,19 +209,28 @@
 	return min(startShare*l.opts.Bound.margin(limit), limit.capacity())
 }
 
-// bucket returns the bucket of a workspace with its level at now. A new limit takes
+// open adds the bucket of a workspace that this node starts to lend.
+func (l *Lender) open(now time.Time, r Request) {
+	if l.Has(r.Workspace.ID) {
+		return
+	}
+	b := &bucket{
+		limit: l.opts.Bound.raised(r.Workspace.Limit), level: l.startLevel(r.Workspace.Limit), started: now, updated: now,
+	}
+	if !r.Since.IsZero() && r.Since.Before(now) {
+		b.started, b.updated = r.Since, r.Since
+	}
+	if r.HandedOver {
+		b.started = b.started.Add(-takeoverTime)
+	}
+	l.buckets[r.Workspace.ID] = b
+}
+
+// bucket returns the open bucket of a workspace with its level at now. A new limit takes
 // effect from now on.
 func (l *Lender) bucket(now time.Time, w Workspace) *bucket {
 	limit := l.opts.Bound.raised(w.Limit)
 	b := l.buckets[w.ID]
-	if b == nil {
-		start := now
-		if !l.since.IsZero() && l.since.Before(now) {
-			start = l.since
-		}
-		b = &bucket{limit: limit, level: l.startLevel(w.Limit), started: start, updated: start}
-		l.buckets[w.ID] = b
-	}
 	b.refill(now, l.share)
 	if b.limit != limit {
 		b.limit = limit
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -48,6 +48,9 @@
 	view        View
 	rankings    map[uint64]Ranking
 	settleUntil time.Time
+	// lendsSince is the time from which on this node lends tokens of the workspaces for
+	// which it comes first: the last change of its view, or the end of SettleTime.
+	lendsSince time.Time
 	// leaving holds the times until which the node lends tokens of workspaces for
 	// which another one comes first now, because not all nodes know that yet.
 	leaving map[uint64]time.Time
@@ -81,7 +84,7 @@
 // SetView records a new view of the other nodes.
 func (n *Node) SetView(now time.Time, v View) {
 	n.view = v
-	n.lender.SetSince(latest(now, n.settleUntil))
+	n.lendsSince = latest(now, n.settleUntil)
 	clear(n.rankings)
 	n.borrower.SetNodes(len(v.Known) + 1)
 	n.lender.SetShare(now, 1-float64(v.Silent)/float64(max(len(v.Known), v.Silent)+1))
@@ -117,7 +120,7 @@
 func (n *Node) Settle(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(n.settleUntil) {
 		n.settleUntil = until
-		n.lender.SetSince(until)
+		n.lendsSince = until
 	}
 	n.borrower.dropTokens()
 	n.lender.Retain(func(id uint64) bool { return n.ranking(id).First != n.opts.Name })
@@ -267,8 +270,14 @@
 		return Grant{Redirected: true, RetryAfter: wait}
 	}
 	if redirected && n.ranking(r.Workspace.ID).First != n.opts.Name {
+		if !now.Before(n.leaving[r.Workspace.ID]) {
+			n.lender.Drop(r.Workspace.ID) // Of an earlier time; it has filled since.
+		}
 		n.leaving[r.Workspace.ID] = now.Add(SettleTime)
 	}
+	if !redirected && n.ranking(r.Workspace.ID).First == n.opts.Name {
+		r.Since = n.lendsSince
+	}
 	r.HandedOver = !redirected && now.Sub(n.settleUntil) < handoverTime
 	return n.lender.Lend(now, from, r)
 }
--- a/core/process/dogquota/quota_test.go
+++ b/core/process/dogquota/quota_test.go
@@ -37,6 +37,12 @@
 		f.setLimit(Limit{Rate: arg(1), Burst: arg(2)})
 	case "kill": // Down time, and "lender" or "all".
 		s.kill(t, duration(t, w[1]), w[2])
+	case "pause": // Of the lender, noticed by itself only.
+		for _, n := range f.nodes {
+			if n.up && n.node.ranking(f.workspace).First == n.name {
+				n.node.Settle(f.now, SettleTime)
+			}
+		}
 	case "partition": // Nodes that are cut off, and time.
 		f.partition(int(arg(1)), duration(t, w[2]))
 	case "load": // Requests per second, time, and optionally the first and last node.
--- a/core/process/dogquota/random_test.go
+++ b/core/process/dogquota/random_test.go
@@ -34,7 +34,7 @@
 
 // randomStep causes a random fault, and simulates a random load for up to 8 s.
 func (f *fleet) randomStep() {
-	switch l := f.limits[0].limit; f.rand.IntN(6) {
+	switch l := f.limits[0].limit; f.rand.IntN(7) {
 	case 0:
 		victim := f.rand.IntN(len(f.nodes))
 		f.killWhere(time.Second, func(n *fleetNode) bool { return n.number == victim })
@@ -46,6 +46,12 @@
 		f.partition(len(f.nodes)/3, 4*time.Second)
 	case 4:
 		f.setLimit(Limit{Rate: l.Rate * pick(f, 0.1, 1, 2), Burst: l.Burst})
+	case 5:
+		for _, n := range f.nodes {
+			if n.up && n.node.ranking(f.workspace).First == n.name {
+				n.node.Settle(f.now, SettleTime)
+			}
+		}
 	}
 	d := f.between(500*time.Millisecond, 8*time.Second)
 	f.load(f.limits[0].limit.Rate*pick(f, 0.3, 0.6, 1, 3.6, 5), d, func() int { return f.rand.IntN(len(f.nodes)) })
