Quotas: a lender does not fill while another one lends

Cause: two seeds of TestRandomFaults broke the bound (400 run): 410 of 350 requests after three kills of lenders in a row, as the bucket of a replaced lender filled while nobody asked it and was used when it came first again; and 3,342 of 3,320 at the end of a partition, as both sides lent the full rate until all nodes had noticed.

TestLentTokensCount names the time since which its lender lends alone, which it took for granted.

--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -28,6 +28,9 @@
 	// partitionedShare is the share of nodes that can be reached below which the others
 	// may have used a burst of their own.
 	partitionedShare = 0.9
+	// idleTime is the time without a request after which a lender that does not come
+	// first takes it that another one lends meanwhile.
+	idleTime = 200 * time.Millisecond
 	// maxAskers bounds the nodes that are counted while tokens are short.
 	maxAskers = 1024
 )
@@ -114,6 +117,23 @@
 	}
 }
 
+// Restrict lowers the level of the bucket of a workspace to that of a takeover, if it is
+// higher. It has filled while another node may have lent.
+func (l *Lender) Restrict(now time.Time, workspace uint64) {
+	if b := l.buckets[workspace]; b != nil {
+		b.refill(now, l.share)
+		b.level = min(b.level, startShare*l.opts.Bound.margin(b.limit))
+	}
+}
+
+// skipIdle makes a bucket not fill in a time in which another node may have lent.
+func (l *Lender) skipIdle(now time.Time, workspace uint64) {
+	b := l.buckets[workspace]
+	if idle := now.Sub(b.updated) - idleTime; idle > 0 {
+		b.updated = b.updated.Add(idle)
+	}
+}
+
 // Drop drops the bucket of a workspace.
 func (l *Lender) Drop(workspace uint64) { delete(l.buckets, workspace) }
 
@@ -123,6 +143,9 @@
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
 	l.open(now, r)
+	if r.Since.IsZero() {
+		l.skipIdle(now, r.Workspace.ID)
+	}
 	b := l.bucket(now, r.Workspace)
 	b.lent.used(node) // A node asks when it has no token left.
 	if now.Sub(b.refusedAt) < contentionPeriod {
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwoodford/core/request/dogdigest"
@@ -48,6 +49,8 @@
 	view        View
 	rankings    map[uint64]Ranking
 	settleUntil time.Time
+	share       float64    // Share of the nodes that this one can reach.
+	lowShares   []lowShare // Earlier shares that still hold.
 	// lendsSince is the time from which on this node lends tokens of the workspaces for
 	// which it comes first: the last change of its view, or the end of SettleTime.
 	lendsSince time.Time
@@ -66,6 +69,7 @@
 		lender:   NewLender(LenderOptions{Bound: opts.Bound, Rand: opts.Rand}),
 		rankings: make(map[uint64]Ranking),
 		leaving:  make(map[uint64]time.Time),
+		share:    1,
 	}
 	n.Settle(now, SettleTime)
 	return n
@@ -87,7 +91,7 @@
 	n.lendsSince = latest(now, n.settleUntil)
 	clear(n.rankings)
 	n.borrower.SetNodes(len(v.Known) + 1)
-	n.lender.SetShare(now, 1-float64(v.Silent)/float64(max(len(v.Known), v.Silent)+1))
+	n.setShare(now, 1-float64(v.Silent)/float64(max(len(v.Known), v.Silent)+1))
 	n.lender.Retain(func(id uint64) bool { return n.keepsBucket(now, id) })
 }
 
@@ -98,21 +102,48 @@
 	return b
 }
 
-// keepsBucket reports whether the bucket of a workspace may be used from now on. One that
-// was not in use for a time would be full, although another node has lent meanwhile.
+// keepsBucket reports whether the bucket of a workspace may be used from now on. It is
+// restricted after a time in which another node may have lent.
 func (n *Node) keepsBucket(now time.Time, workspace uint64) bool {
-	first := n.ranking(workspace).First == n.opts.Name
 	until, leaving := n.leaving[workspace]
 	switch {
-	case first:
+	case n.ranking(workspace).First == n.opts.Name:
+		if leaving {
+			n.lender.Restrict(now, workspace)
+		}
 		delete(n.leaving, workspace)
 	case !leaving:
 		n.leaving[workspace] = now.Add(SettleTime)
-		return true
 	case !now.Before(until):
 		delete(n.leaving, workspace)
+		return false
 	}
-	return !leaving || now.Before(until)
+	return true
+}
+
+// setShare passes the share of the nodes that this one can reach to the lender. It grows
+// SettleTime late: until all nodes know that a partition has ended, both sides lend.
+func (n *Node) setShare(now time.Time, share float64) {
+	if share > n.share {
+		n.lowShares = append(n.lowShares, lowShare{n.share, now.Add(SettleTime)})
+	}
+	n.share = share
+	n.updateShare(now)
+}
+
+func (n *Node) updateShare(now time.Time) {
+	n.lowShares = slices.DeleteFunc(n.lowShares, func(s lowShare) bool { return !now.Before(s.until) })
+	share := n.share
+	for _, s := range n.lowShares {
+		share = min(share, s.share)
+	}
+	n.lender.SetShare(now, share)
+}
+
+// lowShare is a share that holds until a time.
+type lowShare struct {
+	share float64
+	until time.Time
 }
 
 // Settle makes the node name the next one as lender for a time, and drops its tokens. It is
@@ -279,6 +310,7 @@
 		r.Since = n.lendsSince
 	}
 	r.HandedOver = !redirected && now.Sub(n.settleUntil) < handoverTime
+	n.updateShare(now)
 	return n.lender.Lend(now, from, r)
 }
 
--- a/core/process/dogquota/node_test.go
+++ b/core/process/dogquota/node_test.go
@@ -37,14 +37,14 @@
 // of nodes: a window could then have two bursts.
 func TestLentTokensCount(t *testing.T) {
 	l := NewLender(LenderOptions{Bound: bound, Rand: newRand()})
-	l.Lend(start, "a", Request{Workspace: north})
+	l.Lend(start, "a", Request{Workspace: north, Since: start})
 	now := start.Add(10 * time.Second)
-	early := l.Lend(now, "a", Request{Workspace: north, Waiting: 1, Recent: 40}).Tokens
+	early := l.Lend(now, "a", Request{Workspace: north, Since: start, Waiting: 1, Recent: 40}).Tokens
 	if early < 40 {
 		t.Fatalf("%d tokens lent from a full bucket, want at least 40", early)
 	}
 	now = now.Add(TokenLifetime - time.Millisecond)
-	rest := l.Lend(now, "b", Request{Workspace: north, Waiting: 1000}).Tokens
+	rest := l.Lend(now, "b", Request{Workspace: north, Since: start, Waiting: 1000}).Tokens
 	if want := int(bound.raised(north.Limit).Burst) - early + 1; rest > want {
 		t.Errorf("%d tokens lent while %d others may still be used, want at most %d", rest, early-1, want)
 	}
--- a/core/process/dogquota/random_test.go
+++ b/core/process/dogquota/random_test.go
@@ -9,13 +9,21 @@
 
 var seeds = flag.Uint64("seeds", 12, "number of random scenarios of each test")
 
+// brokenSeeds are scenarios in which the bound was broken: a lender that filled while another
+// one lent, and both sides of a partition at its end.
+var brokenSeeds = []uint64{123, 207}
+
 func pick[T any](f *fleet, choices ...T) T { return choices[f.rand.IntN(len(choices))] }
 
 // TestRandomFaults guards against more requests of a workspace than its bound in any
 // sliding window, whatever the load and the faults: kills of single nodes, of the lender
-// and of all nodes, a partition, changes of the limit, and faults of messages.
+// and of all nodes, a partition, a pause of the lender, changes of the limit, and faults of messages.
 func TestRandomFaults(t *testing.T) {
+	chosen := brokenSeeds
 	for seed := range *seeds {
+		chosen = append(chosen, seed)
+	}
+	for _, seed := range chosen {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := newFleet(seed, []int{1, 2, 13, 67, 91}[seed%5], Limit{
 				Rate: []float64{1, 16, 100, 500}[seed%4], Burst: []float64{0, 5, 50, 500}[seed/4%4],
