--- a/core/process/dogquota/lender.go
+++ b/core/process/dogquota/lender.go
@@ -57,6 +57,9 @@
 	Workspace Workspace
 	Waiting   int // Requests that wait for a token.
 	Recent    int // Requests of the last second.
+	// HandedOver tells that another node has lent up to now and has not failed, so that
+	// no node uses its fallback bucket.
+	HandedOver bool
 }
 
 // Grant answers a Request.
@@ -118,6 +121,10 @@
 
 // Lend answers the request of a node for tokens.
 func (l *Lender) Lend(now time.Time, node string, r Request) Grant {
+	if !l.Has(r.Workspace.ID) && r.HandedOver {
+		b := l.bucket(now, r.Workspace)
+		b.started = b.started.Add(-takeoverTime)
+	}
 	b := l.bucket(now, r.Workspace)
 	b.lent.used(node) // A node asks when it has no token left.
 	if now.Sub(b.refusedAt) < contentionPeriod {
--- a/core/process/dogquota/node.go
+++ b/core/process/dogquota/node.go
@@ -1,6 +1,7 @@
 package dogquota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +13,10 @@
 // about the same time.
 const SettleTime = 3 * time.Second
 
+// handoverTime is the time after SettleTime in which a node takes over the workspaces for
+// which it comes first from the node that it has named.
+const handoverTime = 10 * time.Second
+
 // Options configure a Node.
 type Options struct {
 	Name  string
@@ -69,6 +74,8 @@
 	known := func(id uint64) bool { _, ok := limits[id]; return ok }
 	n.lender.Retain(known)
 	n.borrower.Retain(known)
+	maps.DeleteFunc(n.leaving, func(id uint64, _ time.Time) bool { return !known(id) })
+	clear(n.rankings)
 }
 
 // SetView records a new view of the other nodes.
@@ -208,8 +215,8 @@
 		reply := Message{Kind: KindAnswer, ID: m.ID, Items: make([]Item, len(m.Items))}
 		received := Received{Reply: &reply}
 		for i, it := range m.Items {
-			if first := n.ranking(it.Workspace).First; first != n.opts.Name && !m.Redirected {
-				received.Doubted = first
+			if other := n.otherLender(it.Workspace); other != "" && !m.Redirected {
+				received.Doubted = other
 			}
 			reply.Items[i].Grant = n.lend(now, from, m.Redirected, Request{
 				Workspace: Workspace{ID: it.Workspace}, Waiting: it.Waiting, Recent: it.Recent,
@@ -233,6 +240,18 @@
 	return Received{}
 }
 
+// otherLender returns the node that lends tokens of a workspace in the view of this one;
+// empty if that is this one, or if there is no such workspace.
+func (n *Node) otherLender(workspace uint64) string {
+	if _, ok := n.limits[workspace]; !ok {
+		return ""
+	}
+	if first := n.ranking(workspace).First; first != n.opts.Name {
+		return first
+	}
+	return ""
+}
+
 // unknownRetryAfter is the hint for a workspace that this node does not know yet or no
 // longer, and while it knows nothing of the fleet.
 const unknownRetryAfter = 500 * time.Millisecond
@@ -250,6 +269,7 @@
 	if redirected && n.ranking(r.Workspace.ID).First != n.opts.Name {
 		n.leaving[r.Workspace.ID] = now.Add(SettleTime)
 	}
+	r.HandedOver = !redirected && now.Sub(n.settleUntil) < handoverTime
 	return n.lender.Lend(now, from, r)
 }
 
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -136,4 +136,5 @@
 	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
 	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
 	LenderBack        = define(1831, "lender-back", slog.LevelInfo)
+	QuotaFallback     = define(1832, "quota-fallback", slog.LevelWarn)
 )
--- a/io/process/dogsidecar/lender.go
+++ b/io/process/dogsidecar/lender.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dogwoodford/core/process/dogfleet"
+	"dogwoodford/io/process/doglog"
 )
 
 const (
@@ -15,7 +17,7 @@
 	// nodes find it again within dogquota.SettleTime of its start.
 	lenderProbeInterval = time.Second
 	// maxLenderProbes bounds the probes in progress. They open a connection each.
-	maxLenderProbes = 8
+	maxLenderProbes = 32
 	// sweepInterval is the least time between two probes of all nodes of one data
 	// centre.
 	sweepInterval = 5 * time.Second
@@ -161,3 +163,12 @@
 		logLender(l.log, name, !alive, silent)
 	}
 }
+
+// logLender logs that a lender is lost or back.
+func logLender(l *logger, name string, lost, silent bool) {
+	if lost {
+		l.event(doglog.LenderLost, slog.String("peer", name), slog.Bool("dark", silent))
+		return
+	}
+	l.event(doglog.LenderBack, slog.String("peer", name))
+}
