dogrelay, dogpipeline: fewer allocations a request

The fields of headers between nodes are appended by strconv in place of fmt.Sprintf, a missing deadline costs no error value, and the address of a client, its status line and the callback of peek are not made anew for each request. The bytes on the wire are the same.

--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -36,12 +36,14 @@
 type conn struct {
 	srv    *Server
 	rwc    net.Conn
+	remote string // Address of the client.
 	src    *source
 	br     *bufio.Reader
 	out    *output // Used by the response whose turn it is.
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	call    func()        // The method callHandler, allocated once.
 	body    *requestBody  // Body of the last request that has one; nil if none has.
 	waiting *response     // Started request whose handler is called at the next peek; nil if none.
 	slots   chan struct{} // Semaphore; holds one element per request in progress.
@@ -57,6 +59,7 @@
 func newConn(s *Server, rwc net.Conn) *conn {
 	c := &conn{srv: s, rwc: rwc, src: newSource(rwc), slots: make(chan struct{}, maxAhead)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.call, c.remote = c.callHandler, rwc.RemoteAddr().String()
 	return c
 }
 
@@ -130,7 +133,7 @@
 // far as the connection can tell, or else with a context that is cancelled: the request
 // may have arrived long ago.
 func (c *conn) peek() error {
-	c.src.beforeWait = c.callHandler
+	c.src.beforeWait = c.call
 	_, err := c.br.Peek(1)
 	c.src.beforeWait = nil
 	if err != nil && c.busy() {
--- a/io/connection/dogpipeline/output.go
+++ b/io/connection/dogpipeline/output.go
@@ -57,15 +57,23 @@
 	return o.Write([]byte(s))
 }
 
+// maxStatusLine exceeds the length of each status line in bytes.
+const maxStatusLine = 64
+
 // writeStatus writes the status line of a response.
 func (o *output) writeStatus(status int) error {
-	var line [64]byte
-	b := append(line[:0], "HTTP/1.1 "...)
+	if o.err == nil && cap(o.buf)-len(o.buf) < maxStatusLine {
+		o.err = o.Flush()
+	}
+	if o.err != nil {
+		return o.err
+	}
+	b := append(o.buf, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
 	b = append(b, http.StatusText(status)...)
-	_, err := o.Write(append(b, "\r\n"...))
-	return err
+	o.buf = append(b, "\r\n"...)
+	return nil
 }
 
 // Flush writes what the buffer holds.
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -74,7 +74,7 @@
 		r.body.expects.Store(expectsContinue(req))
 		req.Body = r.body
 	}
-	req.RemoteAddr = c.rwc.RemoteAddr().String()
+	req.RemoteAddr = c.remote
 	r.req = req.WithContext(ctx)
 	return r
 }
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -226,6 +226,10 @@
 // declaredMillis returns the time until the deadline that the caller declares, in
 // milliseconds; false if there is none or it is malformed.
 func (h *Handlers) declaredMillis(r *http.Request) (int64, bool) {
-	ms, err := strconv.ParseInt(r.Header.Get(h.cfg.Headers.Deadline), 10, 64)
+	text := r.Header.Get(h.cfg.Headers.Deadline)
+	if text == "" {
+		return 0, false // ParseInt would allocate an error.
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
 	return ms, err == nil && ms >= 0
 }
--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -101,6 +101,22 @@
 	callTexts   = 4
 )
 
+// maxTypicalFields is the length in bytes of the fields of most calls.
+const maxTypicalFields = 256
+
+// formatFields formats a header of space-separated fields: numbers, then texts.
+func formatFields(numbers []int64, texts []string) string {
+	var typical [maxTypicalFields]byte
+	b := typical[:0]
+	for _, n := range numbers {
+		b = append(strconv.AppendInt(b, n, 10), ' ')
+	}
+	for _, t := range texts {
+		b = append(append(b, t...), ' ')
+	}
+	return string(b[:len(b)-1])
+}
+
 // parseFields parses a header of space-separated fields: non-negative numbers,
 // then texts. Errors wrap errPeerHeader.
 func parseFields(h http.Header, name string, numbers, texts int) ([]int64, []string, error) {
@@ -143,7 +159,7 @@
 }
 
 // boolToInt returns 1 for true and 0 for false.
-func boolToInt(b bool) int {
+func boolToInt(b bool) int64 {
 	if b {
 		return 1
 	}
@@ -152,9 +168,13 @@
 
 // formatCall sets headerCall to the fields of c that the guard needs.
 func (h *Handlers) formatCall(out http.Header, c *call, now time.Time) {
-	out[headerCall] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %s %s %s %s", h.cfg.Tables.Version(), int(c.kind),
-		c.remainingMillis(now), c.attempt, c.lineage.priority, c.lineage.hop, boolToInt(c.lineage.retried), c.content.Shared, escapeField(c.lineage.class), h.cfg.Peer,
-		escapeField(c.service), escapeField(c.caller))}
+	out[headerCall] = []string{formatFields(
+		[]int64{
+			h.cfg.Tables.Version(), int64(c.kind), c.remainingMillis(now), int64(c.attempt), int64(c.lineage.priority),
+			int64(c.lineage.hop), boolToInt(c.lineage.retried), int64(c.content.Shared),
+		},
+		[]string{escapeField(c.lineage.class), h.cfg.Peer, escapeField(c.service), escapeField(c.caller)},
+	)}
 	h.formatWorkspace(out, c)
 	if c.cleared {
 		out[headerCleared] = []string{"1"}
@@ -199,8 +219,13 @@
 	if r.load != nil {
 		l = *r.load
 	}
-	out[headerAnswer] = []string{fmt.Sprintf("%d %d %d %d %d %d %d %d %d %s", version, int(r.outcome),
-		r.retryAfter.Milliseconds(), boolToInt(r.childFailed), l.InFlight, l.Queued, l.Limit, int(l.Cutoff), int(r.downstreamCutoff), reason)}
+	out[headerAnswer] = []string{formatFields(
+		[]int64{
+			version, int64(r.outcome), r.retryAfter.Milliseconds(), boolToInt(r.childFailed), int64(l.InFlight), int64(l.Queued),
+			int64(l.Limit), int64(l.Cutoff), int64(r.downstreamCutoff),
+		},
+		[]string{reason},
+	)}
 	formatRuns(out, r.runs)
 }
 
