dogsidecar: messages to other nodes share the connections of requests

Entries and crash reports that nodes send to each other opened a connection for each message and node, as control requests do: an open connection can be dead while new ones work. They now go over the transport of requests, which looks at a kept connection before it uses it, and once more over a new connection if that fails. Receivers take a message that comes twice once. Pings, probes and pulls still use new connections.

Five messages to one node in sequence take one connection.

--- a/io/process/dogsidecar/broadcast.go
+++ b/io/process/dogsidecar/broadcast.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"sync"
 
+	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/io/process/doglog"
 )
 
@@ -37,7 +39,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if _, err := p.request(ctx, http.MethodPost, v.Entry.Node, v.Entry.Peer, path, data); err != nil {
+			if err := p.send(ctx, v.Entry, path, data); err != nil {
 				p.log.event(failed, slog.String("peer", v.Entry.Node), doglog.Err(err))
 			}
 		})
@@ -45,6 +47,18 @@
 	wg.Wait()
 }
 
+// send sends a message to the node of e over a kept connection, and once more over a new
+// one if that fails, as an open connection can be dead while new ones work. A node that
+// gets a message twice takes it once.
+func (p *peers) send(ctx context.Context, e dogfleet.Entry, path string, data []byte) error {
+	_, err := p.requestOver(ctx, p.kept, http.MethodPost, e.Node, e.Peer, path, data)
+	if err == nil || errors.Is(err, errOtherNode) || errors.Is(err, errUnusableResponse) || ctx.Err() != nil {
+		return err
+	}
+	_, err = p.request(ctx, http.MethodPost, e.Node, e.Peer, path, data)
+	return err
+}
+
 // decodeMessage decodes the body of a message of another node into message.
 func decodeMessage(r *http.Request, message any) error {
 	return json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(message)
--- a/io/process/dogsidecar/broadcast_test.go
+++ b/io/process/dogsidecar/broadcast_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +25,8 @@
 	defer receiver.Close()
 	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
 	a.setListed()
-	sender := &peers{state: a, transport: dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second}), log: a.log}
+	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second})
+	sender := &peers{state: a, transport: transport, kept: transport, log: a.log}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- sender.sendEntries(ctx) }()
@@ -71,3 +74,70 @@
 		}
 	}
 }
+
+// messageReceiver counts messages, and the connections that they came over.
+type messageReceiver struct {
+	dead int // Number of messages after which the first connection carries nothing; 0 for none.
+
+	mu       sync.Mutex
+	conns    map[string]int // Messages by connection.
+	received int
+}
+
+// ServeHTTP implements http.Handler.
+func (m *messageReceiver) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // The server sees a departure behind the body only.
+	if m.count(r.RemoteAddr) {
+		return
+	}
+	<-r.Context().Done()
+}
+
+// count counts a message and reports whether it is to be answered.
+func (m *messageReceiver) count(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns[addr]++
+	if m.dead > 0 && m.conns[addr] > m.dead && len(m.conns) == 1 {
+		return false
+	}
+	m.received++
+	return true
+}
+
+// TestMessagesShareConnections guards against a connection for each message to a node, and
+// against messages that are lost because a kept connection is dead while new ones work.
+// After that, one more kept connection is opened.
+func TestMessagesShareConnections(t *testing.T) {
+	const messages = 5
+	for _, tc := range []struct {
+		name string
+		dead int
+		want int // Connections.
+	}{
+		{name: "open", want: 1},
+		{name: "dead", dead: 2, want: 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := &messageReceiver{dead: tc.dead, conns: make(map[string]int)}
+			receiver := httptest.NewServer(m)
+			defer receiver.Close()
+			s := testState(t, func() int64 { return 1 })
+			sender := &peers{
+				state: s, log: s.log, transport: dogconn.NewPeer(dogconn.Options{IdleTimeout: time.Millisecond}),
+				kept: dogconn.NewPeer(dogconn.Options{}),
+			}
+			e := dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String()}
+			for range messages {
+				if err := sender.send(t.Context(), e, entryPath, []byte("{}")); err != nil {
+					t.Error(err)
+				}
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.received != messages || len(m.conns) != tc.want {
+				t.Errorf("%d of %d messages over %d connections, want %d", m.received, messages, len(m.conns), tc.want)
+			}
+		})
+	}
+}
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -152,7 +152,8 @@
 	receiver := httptest.NewServer((&peers{state: b, configs: &configs{}, log: b.log}).handler())
 	defer receiver.Close()
 	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
-	sender := &peers{state: a, transport: dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second}), log: a.log}
+	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second})
+	sender := &peers{state: a, transport: transport, kept: transport, log: a.log}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- sender.sendReports(ctx) }()
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -72,6 +72,7 @@
 // peers makes and answers control requests between nodes.
 type peers struct {
 	transport *dogconn.Transport
+	kept      *dogconn.Transport // Keeps the connections of requests, which messages share.
 	state     *state
 	store     dogwoodford.Store
 	configs   *configs
@@ -120,13 +121,18 @@
 // is errOtherNode; no name stands for any. A status other than 200 is an
 // errUnusableResponse.
 func (p *peers) request(ctx context.Context, method, node, addr, path string, body []byte) ([]byte, error) {
+	return p.requestOver(ctx, p.transport, method, node, addr, path, body)
+}
+
+// requestOver is request over a connection of t.
+func (p *peers) requestOver(ctx context.Context, t *dogconn.Transport, method, node, addr, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
-	resp, _, err := p.transport.Do(req)
+	resp, _, err := t.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s of %s: %w", method, path, addr, err)
 	}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -134,7 +134,7 @@
 	forControl := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout, Liveness: liveness,
 	})
-	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log}
+	n.peers = &peers{transport: forControl, kept: toPeers, state: n.state, store: store, configs: n.configs, log: n.log}
 	n.state.probeAlive = n.peers.isAlive
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true}))
