--- a/io/process/dogsidecar/fresh.go
+++ b/io/process/dogsidecar/fresh.go
@@ -270,7 +270,7 @@
 // askFresh asks another node until when its configuration is known to have been the newest.
 // Its answer may also show that there is a newer one.
 func (p *peers) askFresh(ctx context.Context, node, addr string) {
-	resp, err := p.exchange(ctx, p.forFresh, http.MethodGet, node, addr, freshPath, nil)
+	resp, err := p.exchange(ctx, p.kept, http.MethodGet, node, addr, freshPath, nil)
 	if err == nil && resp.version > 0 {
 		p.state.ConfigSeen(resp.version, addr)
 	}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -141,7 +141,9 @@
 	forControl := dogconn.NewPeer(dogconn.Options{
 		MaxConns: maxConns, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout, Liveness: liveness,
 	})
-	n.peers = &peers{transport: forControl, state: n.state, store: store, configs: n.configs, log: n.log, keys: n.keys, forFresh: toPeers}
+	n.peers = &peers{
+		transport: forControl, kept: toPeers, state: n.state, store: store, configs: n.configs, log: n.log, keys: n.keys,
+	}
 	n.state.probeAlive = n.peers.isAlive
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{
