Servers: bounds for clients that do not keep the limits

Cause: a head had a bound of 64 KB, but nothing bounded all heads together, and short header lines take some thirty times their bytes in memory. Nothing bounded the connections, the time of a body or of an unread response, or the places that pipelined requests take from those of other clients.

A head that does not end in time is answered 408 in its turn, where the connection was closed before, and so are the requests before it. A body without a declared length is bounded by maxBodyBytes. The listeners of net/http bound connections, heads, bodies and times. Empty lines before a request are skipped and count towards its head.

--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // requestBody is the body of a request. The goroutine of the handler may leave another
@@ -45,8 +46,14 @@
 		b.fail(err)
 		return 0, err
 	}
+	c := b.resp.c
+	now := time.Now().UnixNano()
+	c.bodyStarted.CompareAndSwap(0, now)
+	c.readingBody.Store(now)
 	n, err := b.src.Read(p)
+	c.readingBody.Store(0)
 	if err != nil {
+		c.bodyStarted.Store(0)
 		b.fail(err)
 		b.awaitCheck()
 	}
--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -49,16 +51,32 @@
 	waiting *response     // Started request whose handler is called at the next peek; nil if none.
 	slots   chan struct{} // Semaphore; holds one element per request in progress.
 	running sync.WaitGroup
+	served  bool  // A complete request was read.
+	cost    int64 // Memory that the head that is read takes, see costOf.
 
-	mu       sync.Mutex
-	reading  bool // A request has begun to arrive.
-	inFlight int  // Requests in progress.
-	closed   bool // No further request is read.
-	state    http.ConnState
+	part     part          // Guarded by the mutex of the budget.
+	unserved *list.Element // Place in the connections without a complete request; guarded by the mutex of srv.
+	evicted  bool          // The connection was closed for another one; guarded by the mutex of srv.
+
+	// Times in Unix nanoseconds, 0 if there is none.
+	writing     atomic.Int64 // Start of the write in progress.
+	readingBody atomic.Int64 // Start of the read of a body in progress.
+	bodyStarted atomic.Int64 // Start of the body in progress.
+	bodyEnd     atomic.Int64 // Time by which the body in progress must have ended.
+
+	mu          sync.Mutex
+	reading     bool // A request has begun to arrive.
+	inFlight    int  // Requests in progress.
+	closed      bool // No further request is read.
+	state       http.ConnState
+	idleSince   time.Time // Last change to http.StateIdle.
+	headStarted time.Time // Start of the head that is read; zero if none is.
+	expired     Reason    // Why the head that is read was ended; empty if it was not.
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
 	c := &conn{srv: s, rwc: rwc, src: newSource(rwc), slots: make(chan struct{}, maxAhead)}
+	c.src.grow = c.growHead
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -68,7 +86,7 @@
 	c.br, _ = readers.Get().(*bufio.Reader)
 	c.bw, _ = writers.Get().(*bufio.Writer)
 	c.br.Reset(c.src)
-	c.bw.Reset(c.rwc)
+	c.bw.Reset(sink{c})
 	last := closedChannel
 	for {
 		resp, err := c.readRequest(last)
@@ -105,10 +123,10 @@
 		return nil, errClosed
 	}
 	arrived := c.src.last
-	c.src.inHead, c.src.allowed = true, maxHeadBytes
-	req, err := http.ReadRequest(c.br)
-	c.src.inHead = false
-	_ = c.rwc.SetReadDeadline(time.Time{}) // Fails only on a closed connection, as the next read does.
+	req, held, err := c.readHead()
+	if err != nil && errors.Is(err, errHeadExpired) {
+		return nil, err
+	}
 	if err != nil && c.src.err != nil {
 		// The parser may report a line that was cut off as malformed.
 		return nil, fmt.Errorf("%w: %w", errDeparted, c.src.err)
@@ -117,9 +135,65 @@
 		return nil, fmt.Errorf("read request: %w", err)
 	}
 	if req.Host == "" && req.ProtoAtLeast(1, 1) {
+		c.srv.Budget.endRequest(c, held)
 		return nil, errNoHost
 	}
-	return c.newResponse(req, turn, arrived), nil
+	if !c.served {
+		c.served = true
+		c.srv.markServed(c)
+	}
+	resp := c.newResponse(req, turn, arrived)
+	resp.held = held
+	return resp, nil
+}
+
+// readHead reads the head of a request, of which the first byte is there, within its
+// bounds. held is what the request holds of the budget.
+func (c *conn) readHead() (req *http.Request, held int64, err error) {
+	c.src.inHead, c.src.allowed, c.cost = true, c.srv.limits().HeadBytes, 0
+	ahead, _ := c.br.Peek(c.br.Buffered()) // These bytes are there.
+	if !c.growHead(ahead) {
+		err = errHeadTooCostly
+	}
+	if err == nil {
+		err = c.skipEmptyLines()
+	}
+	if err == nil {
+		req, err = http.ReadRequest(c.br)
+	}
+	c.src.inHead = false
+	if err == nil && c.cost > freeHeadBytes {
+		held = headCost(req)
+	}
+	if c.cost > freeHeadBytes {
+		held = c.srv.Budget.endHead(c, held)
+	}
+	if why := c.endHead(); why != "" && err != nil {
+		c.srv.turnedAway(why)
+		return nil, 0, errHeadExpired
+	}
+	return req, held, err
+}
+
+// growHead reports whether the head that is read may grow by p.
+func (c *conn) growHead(p []byte) bool {
+	c.cost += costOf(p)
+	return c.cost <= freeHeadBytes || c.srv.Budget.grow(c, c.cost-freeHeadBytes, c.srv.limits().HeadBytes)
+}
+
+// skipEmptyLines drops the empty lines before a request, which RFC 9112 (section 2.2)
+// recommends.
+func (c *conn) skipEmptyLines() error {
+	for {
+		b, err := c.br.Peek(1)
+		if err != nil {
+			return fmt.Errorf("before request: %w", err)
+		}
+		if b[0] != '\r' && b[0] != '\n' {
+			return nil
+		}
+		_, _ = c.br.Discard(1) // This byte is there.
+	}
 }
 
 var (
@@ -127,6 +201,9 @@
 	// for too long.
 	errDeparted = errors.New("no further request")
 	errNoHost   = errors.New("request without Host")
+	// errHeadExpired means that the head did not end in time, or while its memory was
+	// needed. Nothing of the request was passed on.
+	errHeadExpired = errors.New("request head given up")
 )
 
 // peek waits for the next byte of the client, and calls the handler of the request that
@@ -191,11 +268,8 @@
 		return false
 	}
 	c.reading = true
-	var deadline time.Time
-	if c.srv.HeadTimeout > 0 {
-		deadline = time.Now().Add(c.srv.HeadTimeout)
-	}
-	_ = c.rwc.SetReadDeadline(deadline) // Fails only on a closed connection, as the next read does.
+	_ = c.rwc.SetReadDeadline(time.Time{}) // Fails only on a closed connection, as the next read does.
+	c.startHead()
 	c.setStateLocked(http.StateActive)
 	return true
 }
@@ -203,7 +277,7 @@
 // run starts a request, and returns when the next one may be read. It reports false if
 // none may.
 func (c *conn) run(resp *response) bool {
-	if !resp.parallel() {
+	if !resp.parallel() || c.srv.MaxAhead > 0 && c.srv.ahead.Load() >= c.srv.MaxAhead {
 		// Whatever closes the connection is known then, and the request has not begun.
 		select {
 		case <-resp.turn:
@@ -211,6 +285,7 @@
 		}
 	}
 	if !c.start(resp) {
+		c.srv.Budget.endRequest(c, resp.held)
 		return false
 	}
 	if resp.body != nil {
@@ -258,6 +333,10 @@
 		return false
 	}
 	c.inFlight++
+	if c.inFlight > 1 {
+		resp.ahead = true
+		c.srv.ahead.Add(1)
+	}
 	if resp.req.Close || !resp.req.ProtoAtLeast(1, 1) {
 		c.closed = true
 		resp.last = true
@@ -286,6 +365,10 @@
 // ended records the end of a request and lets the next response be written.
 func (c *conn) ended(resp *response) {
 	resp.cancel()
+	c.srv.Budget.endRequest(c, resp.held)
+	if resp.ahead {
+		c.srv.ahead.Add(-1)
+	}
 	<-c.slots
 	c.mu.Lock()
 	c.inFlight--
@@ -333,8 +416,14 @@
 		return
 	}
 	status := "400 Bad Request"
-	if errors.Is(err, errHeadTooLong) {
+	switch {
+	case errors.Is(err, errHeadTooLong), errors.Is(err, errHeadTooCostly):
 		status = "431 Request Header Fields Too Large"
+		c.srv.turnedAway(ReasonHeadTooLong)
+	case errors.Is(err, errHeadExpired):
+		status = "408 Request Timeout"
+	default:
+		c.srv.turnedAway(ReasonMalformed)
 	}
 	<-turn
 	_, _ = io.WriteString(c.bw, "HTTP/1.1 "+status+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
@@ -355,6 +444,7 @@
 // finish closes the connection after its last response.
 func (c *conn) finish() {
 	_ = c.bw.Flush() // A failure means that the client is gone.
+	c.srv.markEnding(c)
 	if half, ok := c.rwc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil && c.ctx.Err() == nil {
 		_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, c.rwc) // Ends with the client's close or the deadline.
@@ -380,15 +470,16 @@
 	_ = c.rwc.Close() // The reader and the other responses fail from now on.
 }
 
-// closeIfIdle closes the connection if it carries no request.
-func (c *conn) closeIfIdle() {
+// closeIfIdle closes the connection if it carries no request, and reports whether it did.
+func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inFlight > 0 || c.reading || c.closed {
-		return
+		return false
 	}
 	c.closed = true
 	_ = c.rwc.Close() // The reader fails and removes the connection.
+	return true
 }
 
 func (c *conn) setState(state http.ConnState) {
@@ -403,6 +494,9 @@
 		return
 	}
 	c.state = state
+	if state == http.StateIdle {
+		c.idleSince = time.Now()
+	}
 	if c.srv.ConnState != nil {
 		c.srv.ConnState(c.rwc, state)
 	}
--- a/io/connection/dogpipeline/doc.go
+++ b/io/connection/dogpipeline/doc.go
@@ -14,8 +14,13 @@
 // A handler that must not run a request twice calls AwaitTurn first, because the
 // response to an earlier request may still break off the connection.
 //
+// What clients can make a server hold is bounded: the bytes and the time of a head, the
+// memory of all heads together, the connections, and the time for which a client sends
+// nothing of a body or reads nothing of a response. At a bound the server turns away those
+// that have held most for longest without a complete request.
+//
 // # Usage
 //
-//	srv := &dogpipeline.Server{Handler: handler, IdleTimeout: time.Minute, HeadTimeout: 10 * time.Second}
+//	srv := &dogpipeline.Server{Handler: handler, IdleTimeout: time.Minute, MaxConns: 1000}
 //	err := srv.Serve(ln)
 package dogpipeline
--- a/io/connection/dogpipeline/dogpipeline_test.go
+++ b/io/connection/dogpipeline/dogpipeline_test.go
@@ -119,7 +119,10 @@
 // play runs the commands of a script and returns what was seen.
 func (s *scriptRun) play(commands []string) []string {
 	s.start = time.Now()
-	s.srv = &Server{Handler: s, IdleTimeout: 5 * time.Second, HeadTimeout: time.Second, Panicked: func(v any) { s.record("panic %v", v) }}
+	s.srv = &Server{
+		Handler: s, IdleTimeout: 5 * time.Second, Limits: func() Limits { return Limits{HeadTimeout: time.Second} },
+		Panicked: func(v any) { s.record("panic %v", v) },
+	}
 	ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	go func() { _ = s.srv.Serve(ln) }()
 	client, server := net.Pipe()
@@ -157,6 +160,8 @@
 		}
 	case "longhead":
 		s.do(client, "send GET /10/a HTTP/1.1|Host: h|X-Long: "+strings.Repeat("x", 2*maxHeadBytes))
+	case "emptylines":
+		s.do(client, "send "+strings.Repeat("|", maxHeadBytes))
 	case "wait":
 		ms, _ := strconv.Atoi(rest)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -21,6 +21,8 @@
 	turn   chan struct{} // Closed when all earlier responses have been written.
 	done   chan struct{} // Closed when this response has been written.
 	last   bool          // The connection is closed after this response.
+	ahead  bool          // The request started before the responses to earlier ones.
+	held   int64         // Bytes of the server's budget that the head holds.
 
 	header  http.Header
 	status  int       // 0 before WriteHeader.
@@ -37,6 +39,16 @@
 type exchange struct {
 	turn    <-chan struct{}
 	arrived time.Time
+	c       *conn
+}
+
+// BoundBody makes the server close the connection if the body of the request to which ctx
+// belongs has not been read to its end by about t. It has no effect if ctx does not belong
+// to a request of a Server.
+func BoundBody(ctx context.Context, t time.Time) {
+	if e, ok := ctx.Value(exchangeKey{}).(*exchange); ok {
+		e.c.bodyEnd.Store(t.UnixNano())
+	}
 }
 
 // AwaitTurn waits until the responses to all earlier requests of the connection have
@@ -67,10 +79,11 @@
 }
 
 func (c *conn) newResponse(req *http.Request, turn chan struct{}, arrived time.Time) *response {
-	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, &exchange{turn: turn, arrived: arrived}))
+	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, &exchange{turn: turn, arrived: arrived, c: c}))
 	r := &response{c: c, cancel: cancel, turn: turn, done: make(chan struct{}), header: make(http.Header)}
 	if req.Body != http.NoBody {
 		r.body = &requestBody{resp: r, src: req.Body, ended: make(chan struct{}), checked: make(chan struct{})}
+		c.bodyEnd.Store(0)
 		r.body.expects.Store(expectsContinue(req))
 		req.Body = r.body
 	}
--- a/io/connection/dogpipeline/server.go
+++ b/io/connection/dogpipeline/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,19 +17,34 @@
 	// IdleTimeout is the time after which a connection without a request is closed;
 	// 0 means never.
 	IdleTimeout time.Duration
-	// HeadTimeout bounds the time from the first byte of a request to the end of its
-	// head; 0 means no bound.
-	HeadTimeout time.Duration
+	// Limits returns the limits in force; nil stands for the defaults.
+	Limits func() Limits
+	// MaxConns bounds the open connections. At the bound, a connection without a
+	// request is closed for a new one, or else the new one; 0 means no bound.
+	MaxConns int
+	// MaxAhead bounds the requests that run at the same time as an earlier one of their
+	// connection, of all connections. Beyond it, a request waits for the responses to
+	// the earlier ones, so that clients that send many ahead leave room for others; 0
+	// means no bound.
+	MaxAhead int64
+	// Budget bounds the memory of heads; may be nil.
+	Budget *Budget
+	// TurnedAway is called for each client that is refused or whose connection is closed
+	// because of a bound; may be nil. It must not block.
+	TurnedAway func(Reason)
 	// ConnState is called when a connection changes its state; may be nil.
 	ConnState func(net.Conn, http.ConnState)
 	// Panicked is called with the value of a panic of Handler other than
 	// http.ErrAbortHandler; may be nil.
 	Panicked func(value any)
 
+	ahead atomic.Int64 // Requests that MaxAhead bounds.
+
 	mu        sync.Mutex
 	closing   bool
 	listeners map[net.Listener]struct{}
-	conns     map[*conn]struct{}
+	conns     connSet
+	sweeping  bool // sweep runs.
 }
 
 // shutdownPollInterval is the interval at which Shutdown checks for requests in
@@ -50,6 +66,7 @@
 			}
 			var temporary interface{ Temporary() bool }
 			if errors.As(err, &temporary) && temporary.Temporary() {
+				s.makeRoom()
 				time.Sleep(acceptRetryPause)
 				continue
 			}
@@ -57,7 +74,8 @@
 		}
 		c := newConn(s, rwc)
 		if !s.addConn(c) {
-			_ = rwc.Close() // The server is closing, and no request was read.
+			_ = rwc.Close() // The server is closing or full, and no request was read.
+			c.cancel()
 			continue
 		}
 		go c.serve()
@@ -89,7 +107,7 @@
 	s.startClosing()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
+	for c := range s.conns.all {
 		c.abort()
 	}
 	return nil
@@ -109,10 +127,10 @@
 func (s *Server) closeIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
+	for c := range s.conns.all {
 		c.closeIfIdle()
 	}
-	return len(s.conns) == 0
+	return len(s.conns.all) == 0
 }
 
 func (s *Server) isClosing() bool {
@@ -128,7 +146,7 @@
 		return false
 	}
 	if s.listeners == nil {
-		s.listeners, s.conns = make(map[net.Listener]struct{}), make(map[*conn]struct{})
+		s.listeners, s.conns = make(map[net.Listener]struct{}), newConnSet()
 	}
 	s.listeners[ln] = struct{}{}
 	return true
@@ -146,14 +164,46 @@
 	if s.closing {
 		return false
 	}
-	s.conns[c] = struct{}{}
+	if s.MaxConns > 0 && s.conns.open >= s.MaxConns {
+		s.turnedAway(ReasonConnBound)
+		if !s.conns.evict() {
+			return false
+		}
+	}
+	s.conns.add(c)
 	c.setState(http.StateNew)
+	if !s.sweeping {
+		s.sweeping = true
+		go s.sweep()
+	}
 	return true
 }
 
+// makeRoom closes a connection without a request after the process lacked descriptors.
+func (s *Server) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnedAway(ReasonConnBound)
+	s.conns.evict() // Without such a connection, those with requests end in time.
+}
+
+// markServed records that c has a complete request.
+func (s *Server) markServed(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns.markServed(c)
+}
+
+// markEnding records that nothing more is owed to the client of c.
+func (s *Server) markEnding(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns.markEnding(c)
+}
+
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
-	delete(s.conns, c)
+	s.conns.remove(c)
 	s.mu.Unlock()
 	c.setState(http.StateClosed)
 }
--- a/io/connection/dogpipeline/source.go
+++ b/io/connection/dogpipeline/source.go
@@ -17,15 +17,20 @@
 	conn    net.Conn
 	raw     syscall.RawConn // nil if conn has none.
 	inHead  bool
-	allowed int       // Bytes that may still be read in the head.
-	last    time.Time // Time of the last read.
-	err     error     // Error of the last read.
+	allowed int                 // Bytes that may still be read in the head.
+	grow    func(p []byte) bool // Reports whether the head may grow by p.
+	last    time.Time           // Time of the last read.
+	err     error               // Error of the last read.
 	// beforeWait, if set, is called before Read waits for bytes: if there are none yet
 	// and the connection is open, as far as this can be told without waiting.
 	beforeWait func()
 }
 
-var errHeadTooLong = errors.New("request head too long")
+var (
+	errHeadTooLong = errors.New("request head too long")
+	// errHeadTooCostly means that the head would take more memory than there is for it.
+	errHeadTooCostly = errors.New("request head takes too much memory")
+)
 
 func newSource(c net.Conn) *source {
 	s := &source{conn: c}
@@ -48,6 +53,9 @@
 	n, err := s.read(p)
 	s.last, s.err = time.Now(), err
 	s.allowed -= n
+	if s.inHead && n > 0 && !s.grow(p[:n]) {
+		return 0, errHeadTooCostly
+	}
 	return n, err
 }
 
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -129,5 +129,6 @@
 	SettingsRejected  = define(1816, "settings-rejected", slog.LevelError)
 	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 	ConfigPartlyRead  = define(1818, "config-partly-read", slog.LevelError)
+	ClientTurnedAway  = define(1820, "client-turned-away", slog.LevelWarn)
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
 )
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -13,6 +13,7 @@
 	BytesOut       = define("bytes_out", Counter, "bytes")
 	Panics         = define("panics", Counter, "requests")
 	Departures     = define("departures", Labelled, "stage")
+	TurnedAway     = define("turned_away", Labelled, "reason")
 	SchedulingLag  = define("scheduling_lag", Latency, "ms")
 )
 
--- a/io/process/dogserve/conns.go
+++ b/io/process/dogserve/conns.go
@@ -1,6 +1,7 @@
 package dogserve
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -10,8 +11,16 @@
 // connTracker tracks the open connections of a server. It is safe for concurrent use.
 type connTracker struct {
 	mu         sync.Mutex
-	states     map[net.Conn]http.ConnState
+	states     map[net.Conn]connState
 	lastChange time.Time // Time of the last change of any connection.
+	maxConns   int       // Bound of the connections; 0 means none.
+	atBound    func()    // Called when the bound is met; may be nil.
+}
+
+// connState is the state of a connection.
+type connState struct {
+	state http.ConnState
+	since time.Time // Time of its last change.
 }
 
 // setState implements http.Server.ConnState.
@@ -23,7 +32,54 @@
 		delete(c.states, conn)
 		return
 	}
-	c.states[conn] = state
+	if state == http.StateNew && c.maxConns > 0 && len(c.states) >= c.maxConns {
+		if c.atBound != nil {
+			c.atBound()
+		}
+		if !c.evict() {
+			_ = conn.Close() // Its server reports that it is closed.
+			return
+		}
+	}
+	c.states[conn] = connState{state: state, since: c.lastChange}
+}
+
+// evict closes the connection that has been without a request in progress for longest. It
+// reports false if each has one. The caller must hold c.mu.
+func (c *connTracker) evict() bool {
+	var victim net.Conn
+	var since time.Time
+	for conn, s := range c.states {
+		if s.state != http.StateActive && (victim == nil || s.since.Before(since)) {
+			victim, since = conn, s.since
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	delete(c.states, victim)
+	_ = victim.Close() // Its server reports that it is closed.
+	return true
+}
+
+// boundedListener is a listener that makes room when the process lacks descriptors. The
+// server tries again after an error that passes.
+type boundedListener struct {
+	net.Listener
+
+	conns *connTracker
+}
+
+// Accept implements net.Listener.
+func (l boundedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	var temporary interface{ Temporary() bool }
+	if errors.As(err, &temporary) && temporary.Temporary() {
+		l.conns.mu.Lock()
+		l.conns.evict() // Without such a connection, those with requests end in time.
+		l.conns.mu.Unlock()
+	}
+	return conn, err // http.Server looks at the type of the error.
 }
 
 // idle reports whether no request is in progress and none is expected: there is
@@ -31,8 +87,8 @@
 func (c *connTracker) idle(now time.Time, linger time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, state := range c.states {
-		if state == http.StateActive {
+	for _, s := range c.states {
+		if s.state == http.StateActive {
 			return false
 		}
 	}
--- a/io/process/dogserve/serve.go
+++ b/io/process/dogserve/serve.go
@@ -54,7 +54,7 @@
 
 func newServer(name, addr string, srv dogwoodford.HTTPServer) *Server {
 	s := &Server{name: name, addr: addr, srv: srv, linger: lingerTime}
-	s.conns.states = make(map[net.Conn]http.ConnState)
+	s.conns.states = make(map[net.Conn]connState)
 	return s
 }
 
@@ -62,6 +62,12 @@
 // closed. It must not be called after Serve. The default is half a second.
 func (s *Server) SetLinger(d time.Duration) { s.linger = d }
 
+// SetMaxConns bounds the open connections of a server that New has returned. At the bound,
+// the connection that has been without a request for longest is closed for a new one; if
+// there is none, the new one is closed. atBound is called then; it may be nil and must not
+// block. SetMaxConns must not be called after Listen.
+func (s *Server) SetMaxConns(n int, atBound func()) { s.conns.maxConns, s.conns.atBound = n, atBound }
+
 // closeWhenClosing returns a handler whose responses close their connection once
 // Shutdown has been called.
 func (s *Server) closeWhenClosing(next http.Handler) http.Handler {
@@ -81,6 +87,9 @@
 		return fmt.Errorf("listen %s: %w", s.name, err)
 	}
 	s.ln = ln
+	if s.conns.maxConns > 0 {
+		s.ln = boundedListener{ln, &s.conns}
+	}
 	return nil
 }
 
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -193,14 +193,16 @@
 		}
 		control.ServeHTTP(w, r)
 	})
+	entry := n.progress.track(entryPart, n.relay.Entry())
+	budget := n.settings.newBudget()
 	servers := []*dogserve.Server{
-		dogserve.NewPipelined("outbound", n.settings.Outbound, n.newRequestServer(n.progress.track(entryPart, n.relay.Entry()))),
-		dogserve.NewPipelined("inbound", n.settings.Inbound, n.newRequestServer(inbound)),
-		newServer("ready", n.settings.Ready, n.dialect.Ready(n.ready)),
-		newServer("control", n.settings.Control, n.dialect.Control(n.state)),
+		dogserve.NewPipelined("outbound", n.settings.Outbound, n.newRequestServer("outbound", entry, budget)),
+		dogserve.NewPipelined("inbound", n.settings.Inbound, n.newRequestServer("inbound", inbound, budget)),
+		n.newServer("ready", n.settings.Ready, n.dialect.Ready(n.ready)),
+		n.newServer("control", n.settings.Control, n.dialect.Control(n.state)),
 	}
 	if n.settings.Metrics != "" {
-		servers = append(servers, newServer("metrics", n.settings.Metrics, n.metrics.Handler()))
+		servers = append(servers, n.newServer("metrics", n.settings.Metrics, n.metrics.Handler()))
 	}
 	return servers
 }
@@ -210,22 +212,18 @@
 // may reuse its connection until that expires.
 const callerIdleTimeout = 2 * time.Minute
 
-// headTimeout bounds the time in which a caller sends the head of a request.
+// headTimeout bounds the time in which a caller sends the head of a request, if the
+// configuration names no time.
 const headTimeout = 10 * time.Second
 
-func newServer(name, addr string, h http.Handler) *dogserve.Server {
-	return dogserve.New(name, addr, &http.Server{
-		Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: callerIdleTimeout,
-		DisableGeneralOptionsHandler: true,
-	})
-}
-
 // newRequestServer returns a server for requests of callers, who may send them ahead of
 // responses, or of other nodes. It does not run requests whose sender has left.
-func (n *node) newRequestServer(h http.Handler) *dogpipeline.Server {
+func (n *node) newRequestServer(name string, h http.Handler, b *dogpipeline.Budget) *dogpipeline.Server {
 	return &dogpipeline.Server{
-		Handler: h, HeadTimeout: headTimeout, IdleTimeout: callerIdleTimeout,
-		Panicked: func(v any) { n.log.event(doglog.RequestPanicked, slog.Any("panic", v)) },
+		Handler: h, IdleTimeout: callerIdleTimeout, Limits: n.clientLimits, MaxConns: n.settings.maxConns(),
+		MaxAhead: n.settings.MemoryBytes / bytesPerRequest / aheadDivisor, Budget: b,
+		TurnedAway: func(r dogpipeline.Reason) { n.turnedAway(name, r) },
+		Panicked:   func(v any) { n.log.event(doglog.RequestPanicked, slog.Any("panic", v)) },
 	}
 }
 
--- a/io/process/dogsidecar/settings.go
+++ b/io/process/dogsidecar/settings.go
@@ -43,6 +43,7 @@
 
 	Grace       time.Duration // Time from the stop signal to the kill.
 	MemoryBytes int64         // Memory limit of the process, at which it is killed; 0 if unknown.
+	MaxFiles    int           // Descriptors that the process may have open; 0 if unknown.
 }
 
 // HeartbeatReceiver receives the messages of targets about themselves.
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -78,10 +79,19 @@
 	if maxBytes := table.Limits().BodyBytes; maxBytes > 0 && r.ContentLength > maxBytes {
 		return refused(dogwoodford.ReasonTooLarge, 0), nil
 	}
-	b, err := h.buffers.read(r.Body, r.ContentLength)
+	body := r.Body
+	if maxBytes := table.Limits().BodyBytes; maxBytes > 0 && r.ContentLength < 0 {
+		body = http.MaxBytesReader(nil, body, maxBytes)
+	}
+	dogpipeline.BoundBody(ctx, start.Add(timeout))
+	b, err := h.buffers.read(body, r.ContentLength)
 	if err != nil && ctx.Err() != nil {
 		return refused(dogwoodford.ReasonCancelled, 0), nil // The caller is gone.
 	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refused(dogwoodford.ReasonTooLarge, 0), nil
+	}
 	if err != nil {
 		return refused(dogwoodford.ReasonBadRequest, 0), nil
 	}
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -9,6 +9,7 @@
 	"dogwoodford"
 	"dogwoodford/core/connection/dogoutcome"
 	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/io/connection/dogpipeline"
 	"dogwoodford/io/process/doglog"
 	"dogwoodford/io/process/dogmetric"
 )
@@ -35,6 +36,7 @@
 	}
 	// The body is read before the call is queued: behind it, the server sees whether
 	// the entry leaves.
+	dogpipeline.BoundBody(r.Context(), c.deadline)
 	if c.body, err = h.buffers.read(r.Body, r.ContentLength); err != nil {
 		h.reply(w, refused(dogwoodford.ReasonCancelled, 0))
 		return
