--- a/io/connection/dogpipeline/limits.go
+++ b/io/connection/dogpipeline/limits.go
@@ -137,8 +137,14 @@
 // sweep looks for connections that exceed a time until none is left.
 func (s *Server) sweep() {
 	last := time.Now()
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
 	for {
-		time.Sleep(sweepInterval)
+		select {
+		case <-s.empty:
+			return
+		case <-tick.C:
+		}
 		now := time.Now()
 		// A process that was suspended has not read what its clients have sent.
 		late := now.Sub(last) > 2*sweepInterval
--- a/io/connection/dogpipeline/server.go
+++ b/io/connection/dogpipeline/server.go
@@ -44,7 +44,8 @@
 	closing   bool
 	listeners map[net.Listener]struct{}
 	conns     connSet
-	sweeping  bool // sweep runs.
+	sweeping  bool          // sweep runs.
+	empty     chan struct{} // Closed when the server is closing and has no connection.
 }
 
 // shutdownPollInterval is the interval at which Shutdown checks for requests in
@@ -117,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
+	s.closeEmpty()
 	for ln := range s.listeners {
 		_ = ln.Close() // The error means that it was closed before.
 	}
@@ -146,7 +148,7 @@
 		return false
 	}
 	if s.listeners == nil {
-		s.listeners, s.conns = make(map[net.Listener]struct{}), newConnSet()
+		s.listeners, s.conns, s.empty = make(map[net.Listener]struct{}), newConnSet(), make(chan struct{})
 	}
 	s.listeners[ln] = struct{}{}
 	return true
@@ -158,6 +160,19 @@
 	delete(s.listeners, ln)
 }
 
+// closeEmpty closes empty once the server is closing and has no connection. The caller must
+// hold s.mu.
+func (s *Server) closeEmpty() {
+	if s.empty == nil || !s.closing || len(s.conns.all) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
+
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,6 +219,7 @@
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	s.conns.remove(c)
+	s.closeEmpty()
 	s.mu.Unlock()
 	c.setState(http.StateClosed)
 }
--- a/io/process/dogserve/serve_test.go
+++ b/io/process/dogserve/serve_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +136,52 @@
 	}
 	return resp
 }
+
+// TestMaxConns guards against a server that is full of silent connections and takes no
+// other, and against one that closes a connection with a request in progress.
+func TestMaxConns(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	s := New("ready", "127.0.0.1:0", &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(arrived)
+			<-release
+		}
+	})})
+	var full atomic.Int64
+	s.SetMaxConns(2, func() { full.Add(1) })
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(t.Context()) }()
+	addr := s.ln.Addr().String()
+	slow := make(chan error, 1)
+	go func() {
+		resp, err := http.Get("http://" + addr + "/slow")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		slow <- err
+	}()
+	<-arrived
+	for range 5 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + addr + "/")
+	if err != nil {
+		t.Errorf("a request beside silent connections: %v", err)
+	} else {
+		_ = resp.Body.Close()
+	}
+	close(release)
+	if err := <-slow; err != nil {
+		t.Errorf("the request in progress: %v", err)
+	}
+	if got := full.Load(); got != 5 {
+		t.Errorf("the bound was met %d times, want 5", got)
+	}
+}
