Tests: the largest head that the limits permit is answered

The shortest header line has three bytes, so that the part of a connection holds a longest head of such lines too.

--- a/io/connection/dogpipeline/budget.go
+++ b/io/connection/dogpipeline/budget.go
@@ -15,8 +15,9 @@
 	// maps of the request and of its copies. Without it, short lines would take thirty
 	// times the memory that is counted.
 	lineCost = 256
-	// minLineBytes is the length of the shortest header line.
-	minLineBytes = 4
+	// minLineBytes is the length of the shortest header line, whose end may lack the
+	// carriage return.
+	minLineBytes = 3
 	// fairPartDivisor is the part of a budget, as a divisor, that one connection may use.
 	fairPartDivisor = 16
 )
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -330,3 +331,31 @@
 	n.startCrowd(t, manyPerPort, true, func(io.Writer, string) error { return nil })()
 	n.check(t)
 }
+
+// TestLargestHead guards against bounds that a client within the limits meets: its header
+// section is as long as the configuration permits, of lines as short as can be.
+func TestLargestHead(t *testing.T) {
+	startNode(t)
+	conn, err := net.Dial("tcp", at(portOutbound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	start := fmt.Sprintf(starts(true)[portOutbound], rand.Uint64())
+	const longestLine = 8
+	head := start + shortLines(maxHeaderBytes-len(start)-longestLine) + "\r\n"
+	if _, err := io.WriteString(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("a head of %d bytes is answered %s, want 200", len(head), resp.Status)
+	}
+}
