Servers: unfinished requests give way at readiness, control and metrics

Cause: 32 requests whose bodies do not come shut out heartbeats for 5 s, again and again. Change: at the bound a request that is unfinished after a second is closed, as the handlers there take milliseconds. TestUnfinishedRequests fails without it (500 tries in 5 s).

--- a/io/process/dogserve/conns.go
+++ b/io/process/dogserve/conns.go
@@ -44,14 +44,25 @@
 	c.states[conn] = connState{state: state, since: c.lastChange}
 }
 
-// evict closes the connection that has been without a request in progress for longest. It
-// reports false if each has one. The caller must hold c.mu.
+// unfinishedAfter is the time after which a request in progress is taken for one whose body
+// does not come, or whose response is not read: the servers with a bound have handlers that
+// take milliseconds.
+const unfinishedAfter = time.Second
+
+// evict closes the connection that has been without a request in progress for longest, or
+// else the one whose request has been unfinished for longest. It reports false if there is
+// neither. The caller must hold c.mu.
 func (c *connTracker) evict() bool {
+	now := time.Now()
 	var victim net.Conn
 	var since time.Time
+	active := true // The state of victim.
 	for conn, s := range c.states {
-		if s.state != http.StateActive && (victim == nil || s.since.Before(since)) {
-			victim, since = conn, s.since
+		if s.state == http.StateActive && (!active || now.Sub(s.since) < unfinishedAfter) {
+			continue
+		}
+		if victim == nil || active && s.state != http.StateActive || s.since.Before(since) {
+			victim, since, active = conn, s.since, s.state == http.StateActive
 		}
 	}
 	if victim == nil {
--- a/io/process/dogserve/serve_test.go
+++ b/io/process/dogserve/serve_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -185,3 +186,48 @@
 		t.Errorf("the bound was met %d times, want 5", got)
 	}
 }
+
+// TestUnfinishedRequests guards against a server that clients shut out from all others by
+// requests whose bodies do not come.
+func TestUnfinishedRequests(t *testing.T) {
+	const unfinished = 2
+	begun := make(chan struct{}, unfinished)
+	s := New("control", "127.0.0.1:0", &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			begun <- struct{}{}
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})})
+	s.SetMaxConns(unfinished, nil)
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(t.Context()) }()
+	addr := s.ln.Addr().String()
+	for range unfinished {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range unfinished {
+		<-begun
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	const tries = 500
+	for i := range tries {
+		resp, err := client.Get("http://" + addr + "/")
+		if err == nil {
+			_ = resp.Body.Close()
+			return
+		}
+		if i == tries-1 {
+			t.Errorf("beside requests without bodies: %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -18,6 +18,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogtree"
 	"dogwoodford/core/request/dogcall"
+	"dogwoodford/core/version/dogtable"
 	"dogwoodford/internal/dogscript"
 	"dogwoodford/io/connection/dogpipeline"
 )
@@ -395,6 +396,49 @@
 	}
 }
 
+// TestLongBodies guards against bodies over the limit of the configuration that are sent on
+// because their length is not declared.
+func TestLongBodies(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
+	entry.addGuards(guard)
+	table, err := dogtable.New(dogtable.Spec{
+		Version: 2, Limits: dogtable.Limits{BodyBytes: 1000}, Services: []dogtable.Service{{Name: "rounds"}},
+		Routes: []dogtable.RouteSpec{{
+			Name: "r", Host: "h", Prefix: "/idempotent/", Kind: dogtable.Idempotent, Timeout: time.Second, Attempts: 2,
+			Backends: []dogtable.Backend{{Service: "rounds", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry.relay.cfg.Tables.Offer(table)
+	for _, tc := range []struct {
+		length, want int
+	}{{1000, http.StatusOK}, {1001, http.StatusRequestEntityTooLarge}} {
+		// A reader of a type that net/http does not know has no declared length.
+		body := struct{ io.Reader }{strings.NewReader(strings.Repeat("x", tc.length))}
+		req, err := http.NewRequestWithContext(t.Context(), "POST", entry.entry.URL+"/idempotent/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set(testHeaders.Attempt, fmt.Sprint("long-", tc.length))
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Errorf("%d bytes: %v", tc.length, err)
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != tc.want {
+			t.Errorf("%d bytes: status %d, want %d", tc.length, resp.StatusCode, tc.want)
+		}
+	}
+	if n := guard.target.count(); n != 1 {
+		t.Errorf("%d requests ran, want 1", n)
+	}
+}
+
 // TestGuardOfAnotherService guards against running a request at the wrong service
 // after the address of a guard was reused by a node of another service.
 func TestGuardOfAnotherService(t *testing.T) {
