--- a/io/connection/dogpipeline/output.go
+++ b/io/connection/dogpipeline/output.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // output is the writing side of a connection. Bytes that do not fit its buffer are written
@@ -17,19 +19,26 @@
 	pieces [2][]byte   // Backing array of vector.
 	vector net.Buffers // What is being written.
 	err    error
+	// writing is the start of the write in progress in Unix nanoseconds, 0 if there is
+	// none.
+	writing *atomic.Int64
 }
 
+// maxWriteBytes bounds the bytes of one write besides those of the buffer, so that a client
+// that reads slowly is seen to read.
+const maxWriteBytes = 64 << 10
+
 var outputs = sync.Pool{New: func() any { return &output{buf: make([]byte, 0, bufferBytes)} }}
 
-func newOutput(c net.Conn) *output {
+func newOutput(c net.Conn, writing *atomic.Int64) *output {
 	o, _ := outputs.Get().(*output)
-	o.conn = c
+	o.conn, o.writing = c, writing
 	return o
 }
 
 // free gives the buffer of o back. The caller must not use o afterwards.
 func (o *output) free() {
-	o.conn, o.buf, o.err = nil, o.buf[:0], nil
+	o.conn, o.writing, o.buf, o.err = nil, nil, o.buf[:0], nil
 	outputs.Put(o)
 }
 
@@ -84,23 +93,38 @@
 	if o.err != nil {
 		return o.err
 	}
-	if len(p) == 0 {
-		if len(o.buf) == 0 {
-			return nil
-		}
-		_, o.err = o.conn.Write(o.buf)
-	} else {
-		o.pieces = [2][]byte{o.buf, p}
-		o.vector = o.pieces[:]
-		if len(o.buf) == 0 {
-			o.vector = o.pieces[1:]
-		}
-		_, o.err = o.vector.WriteTo(o.conn)
-		o.pieces = [2][]byte{} // Keeps no reference to p.
-	}
+	first := p[:min(len(p), maxWriteBytes)]
+	o.err = o.writeBoth(o.buf, first)
 	o.buf = o.buf[:0]
+	for p = p[len(first):]; o.err == nil && len(p) > 0; {
+		next := p[:min(len(p), maxWriteBytes)]
+		o.err = o.writeBoth(nil, next)
+		p = p[len(next):]
+	}
+	o.writing.Store(0)
 	if o.err != nil {
 		o.err = fmt.Errorf("write to client: %w", o.err)
 	}
 	return o.err
 }
+
+// writeBoth writes a and then b, each of which may be empty, in one system call where the
+// connection permits.
+func (o *output) writeBoth(a, b []byte) error {
+	if len(a) == 0 {
+		a, b = b, nil
+	}
+	if len(a) == 0 {
+		return nil
+	}
+	o.writing.Store(time.Now().UnixNano())
+	if len(b) == 0 {
+		_, err := o.conn.Write(a)
+		return err
+	}
+	o.pieces = [2][]byte{a, b}
+	o.vector = o.pieces[:]
+	_, err := o.vector.WriteTo(o.conn)
+	o.pieces = [2][]byte{} // Keeps no reference to b.
+	return err
+}
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -131,6 +131,7 @@
 	SettingsRejected  = define(1816, "settings-rejected", slog.LevelError)
 	TargetAdvice      = define(1817, "target-advice", slog.LevelInfo)
 	ConfigPartlyRead  = define(1818, "config-partly-read", slog.LevelError)
+	ClientRejected    = define(1840, "client-rejected", slog.LevelWarn)
 	EntryNotSent      = define(1819, "entry-not-sent", slog.LevelInfo)
 	KeysUntrusted     = define(1820, "keys-untrusted", slog.LevelError)
 	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
