dogwoodford sidecar: one processor for the runtime

On a VM with less than a core of a larger machine the runtime takes two processors, whose threads wake each other for each request. The sidecar takes one, unless the environment sets GOMAXPROCS.

--- a/cmd/dogwoodford/sidecar.go
+++ b/cmd/dogwoodford/sidecar.go
@@ -14,6 +14,7 @@
 // runSidecar runs the node of a deployment on the platform until ctx ends. It reads the
 // settings file again at each SIGHUP.
 func runSidecar(ctx context.Context) error {
+	limitProcessors(os.Getenv)
 	path := os.Getenv(platform.SettingsVariable)
 	file, err := platform.ReadSettings(path)
 	if err != nil {
