--- a/io/connection/dogpipeline/output_test.go
+++ b/io/connection/dogpipeline/output_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -16,7 +17,7 @@
 func TestOutput(t *testing.T) {
 	server, client := tcpPair(t)
 	rnd := rand.New(rand.NewPCG(1, 2))
-	o := newOutput(server)
+	o := newOutput(server, new(atomic.Int64))
 	var want []byte
 	go func() {
 		defer server.Close()
@@ -51,7 +52,7 @@
 // written.
 func TestOutputError(t *testing.T) {
 	server, _ := tcpPair(t)
-	o := newOutput(server)
+	o := newOutput(server, new(atomic.Int64))
 	server.Close()
 	if _, err := o.Write(make([]byte, 2*bufferBytes)); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("error %v of a write, want %v", err, net.ErrClosed)
@@ -64,7 +65,7 @@
 // TestOutputBuffers guards against short pieces that are written one by one.
 func TestOutputBuffers(t *testing.T) {
 	w := &countingConn{}
-	o := newOutput(w)
+	o := newOutput(w, new(atomic.Int64))
 	for range 4 {
 		if _, err := o.WriteString("piece"); err != nil {
 			t.Fatal(err)
--- a/io/process/dogmetric/metrics.go
+++ b/io/process/dogmetric/metrics.go
@@ -2,18 +2,19 @@
 
 // Metrics of requests.
 var (
-	Requests       = define("requests", Labelled, "outcome")
-	Refusals       = define("refusals", Labelled, "reason")
-	ClassOffered   = define("class_offered", Labelled, "class")
-	ClassCompleted = define("class_completed", Labelled, "class")
-	ClassRefused   = define("class_refused", Labelled, "class")
-	GuardRefusals  = define("guard_refusals", Labelled, "reason")
-	EntryLatency   = define("entry_latency", Latency, "ms")
-	BytesIn        = define("bytes_in", Counter, "bytes")
-	BytesOut       = define("bytes_out", Counter, "bytes")
-	Panics         = define("panics", Counter, "requests")
-	Departures     = define("departures", Labelled, "stage")
-	SchedulingLag  = define("scheduling_lag", Latency, "ms")
+	Requests        = define("requests", Labelled, "outcome")
+	Refusals        = define("refusals", Labelled, "reason")
+	ClassOffered    = define("class_offered", Labelled, "class")
+	ClassCompleted  = define("class_completed", Labelled, "class")
+	ClassRefused    = define("class_refused", Labelled, "class")
+	GuardRefusals   = define("guard_refusals", Labelled, "reason")
+	EntryLatency    = define("entry_latency", Latency, "ms")
+	BytesIn         = define("bytes_in", Counter, "bytes")
+	BytesOut        = define("bytes_out", Counter, "bytes")
+	Panics          = define("panics", Counter, "requests")
+	Departures      = define("departures", Labelled, "stage")
+	ClientsRejected = define("clients_rejected", Labelled, "reason")
+	SchedulingLag   = define("scheduling_lag", Latency, "ms")
 )
 
 // Metrics of retries and child calls.
--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -311,8 +311,8 @@
 	defer n.logger.close()
 	addr := voucher.serve(t)
 	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, 1)
-	n.peers.forFresh = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
-	n.peers.transport = n.peers.forFresh
+	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
+	n.peers.transport = n.peers.kept
 
 	voucher.keys.observe(3, voucher.clock.read())
 	voucher.configs.offer([]byte("3"), "store")
@@ -358,8 +358,8 @@
 	defer n.logger.close()
 	other.keys, other.configs.keys, other.peers.keys = nil, nil, nil
 	addr := other.serve(t)
-	n.peers.forFresh = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
-	n.peers.transport = n.peers.forFresh
+	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
+	n.peers.transport = n.peers.kept
 	other.configs.offer([]byte("3"), "store")
 	n.configs.pull(t.Context(), n.peers, addr)
 	n.peers.askFresh(t.Context(), "depot-1", addr)
@@ -392,7 +392,7 @@
 	defer srv.Close()
 	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: srv.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
 	n.state.put(dogfleet.Entry{Node: "rounds-1", Service: "rounds", Peer: "127.0.0.1:1", State: dogwoodford.StateReady}, 2)
-	n.peers.forFresh = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
+	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
 	n.keys.observe(3, n.clock.read())
 	n.configs.offer([]byte("3"), "store")
 	voucher.configs.offer([]byte("3"), "store")
@@ -421,7 +421,7 @@
 	voucher.configs.offer([]byte("3"), "store")
 	addr := voucher.serve(t)
 	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, 1)
-	n.peers.forFresh = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
+	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
 	n.keys.observe(3, n.clock.read())
 	n.configs.offer([]byte("3"), "store")
 	if !n.trusted() {
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -73,12 +73,14 @@
 // peers makes and answers control requests between nodes.
 type peers struct {
 	transport *dogconn.Transport
-	state     *state
-	store     dogwoodford.Store
-	configs   *configs
-	log       *logger
-	keys      *freshness
-	forFresh  *dogconn.Transport // For questions to many nodes, over connections that are kept.
+	// kept keeps the connections of requests, which messages and questions to many nodes
+	// share.
+	kept    *dogconn.Transport
+	state   *state
+	store   dogwoodford.Store
+	configs *configs
+	log     *logger
+	keys    *freshness
 }
 
 // response is the answer of another node to a control request.
--- a/io/request/dogrelay/pipeline_bench_test.go
+++ b/io/request/dogrelay/pipeline_bench_test.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	srv := &dogpipeline.Server{Handler: h, HeadTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	srv := &dogpipeline.Server{Handler: h, IdleTimeout: time.Minute}
 	go func() { _ = srv.Serve(ln) }()
 	b.Cleanup(func() { srv.Close() })
 	return ln.Addr().String()
