dogpipeline: the bound of a body applies only to the request that sets it

A request without a body that ran ahead of one with a body could set the bound of bodies after the head of the later one was read.

BoundBody has no effect for a request without a body now. The new test failed with an unexpected EOF and the reason "stalled" before.

--- a/io/connection/dogpipeline/bounds_test.go
+++ b/io/connection/dogpipeline/bounds_test.go
@@ -127,6 +127,39 @@
 	})
 }
 
+// TestBodyBoundOfEarlierRequest guards against a body that is cut off by the bound of a
+// request without a body that runs ahead of it: a request that is refused sets no bound of
+// its own.
+func TestBodyBoundOfEarlierRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBoundedServer(&Server{})
+		handler := s.srv.Handler
+		s.srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/bounded" {
+				time.Sleep(time.Second)
+				BoundBody(r.Context(), time.Now().Add(time.Second))
+			}
+			handler.ServeHTTP(w, r)
+		})
+		c := s.dial("GET /bounded HTTP/1.1\r\nHost: h\r\n\r\nPOST /fast HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf")
+		var sent sync.WaitGroup
+		defer sent.Wait()
+		sent.Go(func() {
+			time.Sleep(5 * time.Second)
+			_, _ = io.WriteString(c, "half")
+		})
+		responses := bufio.NewReader(c)
+		for range 2 {
+			if _, err := http.ReadResponse(responses, nil); err != nil {
+				t.Errorf("response to a request within its bounds: %v", err)
+			}
+		}
+		if diff := cmp.Diff([]Reason(nil), s.close()); diff != "" {
+			t.Errorf("reasons (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestStalledClients guards against clients that hold a request for good by a body that
 // does not come, by one that comes too late, or by a response that they do not read.
 func TestStalledClients(t *testing.T) {
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -40,13 +40,15 @@
 	turn    <-chan struct{}
 	arrived time.Time
 	c       *conn
+	hasBody bool
 }
 
 // BoundBody makes the server close the connection if the body of the request to which ctx
 // belongs has not been read to its end by about t. It has no effect if ctx does not belong
-// to a request of a Server.
+// to a request of a Server, or if the request has no body: a later one on the connection
+// may have one that is not bounded.
 func BoundBody(ctx context.Context, t time.Time) {
-	if e, ok := ctx.Value(exchangeKey{}).(*exchange); ok {
+	if e, ok := ctx.Value(exchangeKey{}).(*exchange); ok && e.hasBody {
 		e.c.bodyEnd.Store(t.UnixNano())
 	}
 }
@@ -79,9 +81,10 @@
 }
 
 func (c *conn) newResponse(req *http.Request, turn chan struct{}, arrived time.Time) *response {
-	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, &exchange{turn: turn, arrived: arrived, c: c}))
+	e := &exchange{turn: turn, arrived: arrived, c: c, hasBody: req.Body != http.NoBody}
+	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, e))
 	r := &response{c: c, cancel: cancel, turn: turn, done: make(chan struct{}), header: make(http.Header)}
-	if req.Body != http.NoBody {
+	if e.hasBody {
 		r.body = &requestBody{resp: r, src: req.Body, ended: make(chan struct{}), checked: make(chan struct{})}
 		c.bodyEnd.Store(0)
 		r.body.expects.Store(expectsContinue(req))
