dogrelay: a guard with workspaces passes no key on, whatever its sender knows

During the first rollout of workspaces an entry that does not have them yet forwards the header of the key like any other, and the guard sent it to its target although its own configuration names it a key.

The guard removes the header if its configuration has workspaces. The new test failed with "the target received the key" before.

--- a/io/request/dogrelay/header.go
+++ b/io/request/dogrelay/header.go
@@ -200,13 +200,19 @@
 	id := r.Header.Get(h.cfg.Headers.Attempt)
 	h.cfg.Fleet.ConfigSeen(n[0], f[1])
 	root, _, _ := strings.Cut(id, idSeparator)
-	return &call{
+	c := &call{
 		id: id, service: f[2], caller: f[3], kind: dogtable.Kind(n[1]),
 		deadline: now.Add(time.Duration(n[2]) * time.Millisecond), attempt: int(n[3]), source: r,
-		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, workspace: h.workspaceOf(r),
-			fairRank: parseRank(r.Header)},
+		lineage: lineage{root: root, class: f[0], priority: int(n[4]), hop: int(n[5]), retried: n[6] > 0, fairRank: parseRank(r.Header)},
 		content: contentOf(f[3], uint64(n[7])), cleared: r.Header.Get(headerCleared) != "",
-	}, nil
+		// The sender may have an older configuration without workspaces, and forward the key.
+		hidesKeys: h.hasWorkspaces(),
+	}
+	if c.hidesKeys {
+		// Without workspaces, callers may use a header of that name for something else.
+		c.lineage.workspace = r.Header.Get(h.cfg.Headers.Workspace)
+	}
+	return c, nil
 }
 
 // parseRank returns the rank in headerRank, 0 if there is none or it is malformed: the
--- a/io/request/dogrelay/workspace.go
+++ b/io/request/dogrelay/workspace.go
@@ -77,12 +77,8 @@
 	}
 }
 
-// workspaceOf returns the workspace that another node names in a forwarded request, empty
-// if there is none. Without workspaces, callers may use a header of that name for
-// something else.
-func (h *Handlers) workspaceOf(r *http.Request) string {
-	if t := h.cfg.Tables.Table(); t == nil || !t.HasWorkspaces() {
-		return ""
-	}
-	return r.Header.Get(h.cfg.Headers.Workspace)
+// hasWorkspaces reports whether the configuration in force has workspaces.
+func (h *Handlers) hasWorkspaces() bool {
+	t := h.cfg.Tables.Table()
+	return t != nil && t.HasWorkspaces()
 }
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -134,6 +134,35 @@
 	return out
 }
 
+// TestKeyFromOlderEntry guards against a key that reaches a target because the entry does
+// not have the configuration with workspaces yet, whereas the guard has it.
+func TestKeyFromOlderEntry(t *testing.T) {
+	entry := newTestNode(t, "entry", "billing", "refuse", time.Second)
+	guard := newTestNode(t, "guard", "rounds", "ok", time.Second)
+	entry.addGuards(guard)
+	guard.relay.cfg.Tables.Offer(workspaceTable(t))
+	req, err := http.NewRequestWithContext(t.Context(), "GET", entry.entry.URL+"/idempotent/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(testHeaders.Attempt, "a1")
+	req.Header.Set(testHeaders.Key, "n1")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, want 200", resp.StatusCode)
+	}
+	guard.target.mu.Lock()
+	defer guard.target.mu.Unlock()
+	if got := guard.target.requests[0].Header[testHeaders.Key]; len(got) > 0 {
+		t.Error("the target received the key")
+	}
+}
+
 // TestWorkspaceOfChildCalls guards against child calls, which carry no key, that lose the
 // workspace or the priority of the request above them.
 func TestWorkspaceOfChildCalls(t *testing.T) {
