Nodes give each other configurations without the keys of callers

A node that cannot reach the store reads the configuration from another one. It got the keys of all workspaces in clear text, at a listener that anyone on the network can ask, whereas keys are not to appear in messages to other nodes.

A table takes keys and hashes alike.

--- a/core/version/dogtable/table.go
+++ b/core/version/dogtable/table.go
@@ -142,7 +142,7 @@
 	services   map[string]Service
 	limits     Limits
 	workspaces map[string]*Workspace // By name.
-	keys       map[keyHash]*Workspace
+	keys       map[KeyHash]*Workspace
 }
 
 // New validates spec and returns its table. Errors wrap ErrTable; those about a
--- a/core/version/dogtable/workspace.go
+++ b/core/version/dogtable/workspace.go
@@ -12,6 +12,8 @@
 type WorkspaceSpec struct {
 	Name string
 	Keys []string // Keys of its callers, each of one workspace only.
+	// KeyHashes are further keys, known by their hashes.
+	KeyHashes []KeyHash
 	// Priority replaces the priority of routes for requests of the workspace; nil
 	// leaves it as it is.
 	Priority *int
@@ -49,17 +51,18 @@
 // Burst returns the number of requests beyond the rate that may come at once.
 func (w *Workspace) Burst() float64 { return w.burst }
 
-// keyHash identifies a key. Lookups compare hashes, so that their time tells nothing of
+// KeyHash identifies a key. Lookups compare hashes, so that their time tells nothing of
 // the keys, and a table holds no key in clear.
-type keyHash [sha256.Size]byte
+type KeyHash [sha256.Size]byte
 
-func hashKey(key string) keyHash { return sha256.Sum256([]byte(key)) }
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
 // addWorkspaces checks the definitions of workspaces and adds them to t. Errors name the
 // workspace, but not the key.
 func (t *Table) addWorkspaces(specs []WorkspaceSpec) error {
 	t.workspaces = make(map[string]*Workspace, len(specs))
-	t.keys = make(map[keyHash]*Workspace)
+	t.keys = make(map[KeyHash]*Workspace)
 	for _, spec := range specs {
 		if err := spec.check(); err != nil {
 			return fmt.Errorf("workspace %q: %w", spec.Name, err)
@@ -72,8 +75,7 @@
 			w.priority, w.hasPriority = *spec.Priority, true
 		}
 		t.workspaces[spec.Name] = w
-		for i, key := range spec.Keys {
-			hash := hashKey(key)
+		for i, hash := range spec.hashes() {
 			if other, ok := t.keys[hash]; ok && other != w {
 				return fmt.Errorf("workspace %q: key %d is also one of workspace %q: %w", spec.Name, i, other.name, ErrTable)
 			}
@@ -83,6 +85,15 @@
 	return nil
 }
 
+// hashes returns the hashes of all keys.
+func (s WorkspaceSpec) hashes() []KeyHash {
+	out := make([]KeyHash, 0, len(s.Keys)+len(s.KeyHashes))
+	for _, key := range s.Keys {
+		out = append(out, HashKey(key))
+	}
+	return append(out, s.KeyHashes...)
+}
+
 func (s WorkspaceSpec) check() error {
 	if s.Name == "" {
 		return fmt.Errorf("no name: %w", ErrTable)
@@ -121,7 +132,7 @@
 
 // Workspace returns the workspace that a key belongs to.
 func (t *Table) Workspace(key string) (*Workspace, bool) {
-	w, ok := t.keys[hashKey(key)]
+	w, ok := t.keys[HashKey(key)]
 	return w, ok
 }
 
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -24,7 +24,7 @@
 	tables  *dogtable.Holder
 	split   *dogtable.Split
 	offers  sync.Mutex              // Held while a configuration is put in force.
-	raw     atomic.Pointer[[]byte]  // Unparsed configuration in force, for other nodes.
+	raw     atomic.Pointer[[]byte]  // Unparsed configuration in force without keys, for other nodes; nil if there is none.
 	inForce []func(*dogtable.Table) // Called with each table that is put in force, in order.
 	keys    *freshness              // Nil if keys are trusted without a bound.
 }
@@ -62,7 +62,7 @@
 		return
 	}
 	c.split.Reset()
-	c.raw.Store(&value)
+	c.publish(value, from)
 	for _, f := range c.inForce {
 		f(t)
 	}
@@ -109,6 +109,17 @@
 	return w
 }
 
+// publish makes a configuration available to other nodes, without the keys of callers.
+func (c *configs) publish(value []byte, from string) {
+	hidden, err := c.dialect.HideKeys(value)
+	if err != nil {
+		c.log.event(doglog.ConfigRejected, slog.String("from", from), doglog.Err(err))
+		c.raw.Store(nil)
+		return
+	}
+	c.raw.Store(&hidden)
+}
+
 // serve responds to other nodes with the configuration in force.
 func (c *configs) serve(w http.ResponseWriter, _ *http.Request) {
 	raw := c.raw.Load()
--- a/io/process/dogsidecar/settings.go
+++ b/io/process/dogsidecar/settings.go
@@ -67,6 +67,9 @@
 	ConfigObject() (kind, name string)
 	// ParseConfig parses the value of the configuration's object.
 	ParseConfig(value []byte) (dogtable.Spec, error)
+	// HideKeys returns a valid value of the configuration's object with hashes in place of
+	// the keys of callers, for other nodes.
+	HideKeys(value []byte) ([]byte, error)
 	// Control returns the handler for messages of targets, which it passes to
 	// receiver.
 	Control(receiver HeartbeatReceiver) http.Handler
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -265,6 +266,8 @@
 func (plainDialect) ConfigObject() (string, string)         { return "config", "main" }
 func (plainDialect) Control(HeartbeatReceiver) http.Handler { return http.NotFoundHandler() }
 func (plainDialect) Ready(func() bool) http.Handler         { return http.NotFoundHandler() }
+func (plainDialect) HideKeys(v []byte) ([]byte, error)      { return v, nil }
+
 func (plainDialect) ParseConfig(v []byte) (dogtable.Spec, error) {
 	var s dogtable.Spec
 	if err := json.Unmarshal(v, &s.Version); err != nil {
@@ -306,6 +309,25 @@
 	}
 }
 
+// hidingDialect hides all of a configuration.
+type hidingDialect struct{ plainDialect }
+
+func (hidingDialect) HideKeys([]byte) ([]byte, error) { return []byte("hidden"), nil }
+
+// TestServedConfig guards against keys of callers in the configuration that a node sends to
+// others.
+func TestServedConfig(t *testing.T) {
+	log := newLogger(io.Discard, "rounds-1")
+	defer log.close()
+	c := &configs{dialect: hidingDialect{}, log: log, metrics: dogmetric.NewSet(), tables: new(dogtable.Holder), split: dogtable.NewSplit(newRand())}
+	c.offer([]byte("7"), "store")
+	w := httptest.NewRecorder()
+	c.serve(w, nil)
+	if got := w.Body.String(); got != "hidden" {
+		t.Errorf("served %q, want the configuration without its keys", got)
+	}
+}
+
 // partlyReadDialect reads configurations of which it does not understand one route.
 type partlyReadDialect struct{ plainDialect }
 
