--- a/io/request/dogrelay/attr.go
+++ b/io/request/dogrelay/attr.go
@@ -54,3 +54,11 @@
 func loadAttr(l dogwoodford.Load) slog.Attr {
 	return slog.String("load", fmt.Sprintf("running=%d queued=%d limit=%d cutoff=%d", l.InFlight, l.Queued, l.Limit, l.Cutoff))
 }
+
+// workspaceAttr is empty if the request belongs to no workspace.
+func workspaceAttr(c *call) slog.Attr {
+	if c.lineage.workspace == "" {
+		return slog.Attr{}
+	}
+	return slog.String("workspace", c.lineage.workspace)
+}
--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -48,7 +48,7 @@
 	attrs := attrs{idAttr(id), reasonAttr(res.reason), outcomeAttr(res.outcome), tookAttr(time.Since(start)),
 		configAttr(h.cfg.Tables.Version())}
 	if c != nil {
-		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()), contentAttr(c))
+		attrs = append(attrs, serviceAttr(c.service), attemptsAttr(c.attempt), leftAttr(c, time.Now()), contentAttr(c), workspaceAttr(c))
 	}
 	if res.load != nil {
 		attrs = append(attrs, loadAttr(*res.load))
