Quotas: a new limit does not empty the fallback bucket of a lost lender

A change of the limit reset the fallback bucket of a workspace, but the workspace stayed in the state in which that bucket is only begun anew once another lender has answered. Its rate was 0 until then, so that a node without a lender refused all requests of the workspace.

The lender is asked again after the change, and the bucket begins with the new limit. The new test granted 0 of 10 requests before, and grants all now.

--- a/core/process/dogquota/borrower.go
+++ b/core/process/dogquota/borrower.go
@@ -199,7 +199,8 @@
 }
 
 // update records the present limit and ranking. Tokens that were lent under a higher
-// limit are dropped.
+// limit are dropped. A lost lender is asked again, as the fallback bucket of the limit
+// before no longer holds.
 func (a *account) update(w Workspace, r Ranking) {
 	if a.ranking != r {
 		a.ranking, a.redirectUntil = r, time.Time{}
@@ -212,7 +213,7 @@
 		a.hand = nil
 	}
 	a.workspace, a.refuseUntil = w, time.Time{}
-	a.fallback = fallbackBucket{}
+	a.lost, a.fallback = false, fallbackBucket{}
 }
 
 // Return takes back the token of a request that has not run. It returns false if the
--- a/core/process/dogquota/node_test.go
+++ b/core/process/dogquota/node_test.go
@@ -178,6 +178,37 @@
 	}
 }
 
+// TestLimitChangedInFallback guards against a node without a lender that refuses all
+// requests of a workspace after its limit has changed.
+func TestLimitChangedInFallback(t *testing.T) {
+	_, n := lenderOf("n1", "n2") // The lender does not answer.
+	take := func(now time.Time, w Workspace) bool {
+		d := n.Take(now, w)
+		for d.Verdict == Wait {
+			n.Flush(now)
+			now = now.Add(AnswerTimeout)
+			if resolved, _, _ := n.Expire(now); len(resolved) > 0 {
+				d = n.Resume(now, w.ID)
+			}
+		}
+		return d.Verdict == Granted
+	}
+	if !take(start, north) {
+		t.Fatal("no token from a new fallback bucket")
+	}
+	raised := Workspace{ID: north.ID, Limit: Limit{Rate: 150, Burst: 300}}
+	n.SetLimits(map[uint64]Limit{raised.ID: raised.Limit})
+	granted := 0
+	for i := range 10 {
+		if take(start.Add(time.Duration(i+1)*time.Second), raised) {
+			granted++
+		}
+	}
+	if granted != 10 {
+		t.Errorf("%d of 10 requests, one a second, granted under the raised limit, want all", granted)
+	}
+}
+
 // TestManyWorkspaces guards against a message for each of many workspaces that wait at the
 // same moment, and against messages that do not fit into a packet.
 func TestManyWorkspaces(t *testing.T) {
