Quotas: forget lost lenders that have left the fleet

The list of lenders that have not answered kept the names of nodes that left for good, so that it grew with each of them.

Names without an entry are dropped with each new view of the fleet. The new test found the name of the node that had left before.

--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -64,6 +64,21 @@
 	return f
 }
 
+// TestFallbackOfLeftNodes guards against a list of lost lenders that grows with each node
+// that leaves the fleet for good.
+func TestFallbackOfLeftNodes(t *testing.T) {
+	q := newQuotaFleet(t, 3, 100, 100).nodes[0]
+	lost := quotaEntry(2).Node
+	q.recordFallback(lost, true)
+	q.state.forget(lost)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.update(time.Now())
+	if len(q.fallback) > 0 {
+		t.Errorf("nodes that do not lend: %v, want none, as the node has left", q.fallback)
+	}
+}
+
 func quotaEntry(i int) dogfleet.Entry {
 	return dogfleet.Entry{
 		Node: fmt.Sprintf("rounds-%d", i), Service: "rounds", DataCentre: "a", Slots: 4,
--- a/io/process/dogsidecar/quotamessage.go
+++ b/io/process/dogsidecar/quotamessage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"time"
@@ -72,6 +73,10 @@
 		}
 		q.view.addresses[m.Node] = netip.AddrPortFrom(peer.Addr(), own.Port())
 	}
+	maps.DeleteFunc(q.fallback, func(name string, _ bool) bool {
+		_, known := q.view.addresses[name]
+		return !known
+	})
 	q.node.SetView(now, view)
 }
 
