Explain: a command that tells where a request would go

Operators could not tell from metrics and logs why a request would be refused or which target it would meet without sending one.

`dogwoodford explain` asks a sidecar at its metrics listener (POST /explain). The answer names configuration, route, workspace, quota, early refusal and the targets in the order of preference, with those that are left out. The key comes from a file or the environment, and is in no answer, log or error.

The core packages get accessors that change nothing: Router.Explain, pressure Table.Inspect, Estimator.Inspect, quota Node.Inspect and Fleet.ServiceTargets. Fleet.Targets and Estimator.Admit are split for them without a change of what they decide.

Tests compare, field by field with the generators of chance, a router, table, estimator, quota node and fleet view that were asked with ones that were not.

--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -269,7 +269,14 @@
 	if f.targets != nil && now.Before(f.targetsExpiry) {
 		return f.targets
 	}
-	f.targetsExpiry = now.Add(unreachableGrace)
+	f.targets, f.targetsExpiry = f.computeTargets(now)
+	return f.targets
+}
+
+// computeTargets returns the targets at a time, and until when they stay the same without
+// a change of the members.
+func (f *Fleet) computeTargets(now time.Time) (targets []dogwoodford.Target, expiry time.Time) {
+	expiry = now.Add(unreachableGrace)
 	reachable := make(map[string]bool)
 	for _, m := range f.members {
 		if m.down.IsZero() && m.entry.State == dogwoodford.StateReady {
@@ -286,8 +293,8 @@
 			if reachable[m.entry.Service] || !now.Before(end) {
 				continue
 			}
-			if end.Before(f.targetsExpiry) {
-				f.targetsExpiry = end
+			if end.Before(expiry) {
+				expiry = end
 			}
 		}
 		out = append(out, dogwoodford.Target{
@@ -295,8 +302,7 @@
 			Peer: m.entry.Peer, State: dogwoodford.StateReady, Slots: m.entry.Slots, ReadySince: m.readySince, LastSeen: m.readySince,
 		})
 	}
-	f.targets = out
-	return out
+	return out, expiry
 }
 
 // Member is what is known of one node.
--- a/core/process/dogtree/estimator.go
+++ b/core/process/dogtree/estimator.go
@@ -87,19 +87,25 @@
 func (e *Estimator) Admit(now time.Time, r Request) (retryAfter time.Duration, ok bool) {
 	c := e.class(r.Class)
 	c.recordLeft(now, r.Left)
-	if len(c.reports) == 0 || r.Left <= 0 || float64(r.Left) < firstShare*float64(max(c.longest, c.longestBefore)) {
+	if !c.weighs(r) || c.completes(r, c.recent(now)) || e.rand.Float64() < probeShare {
 		return 0, true
 	}
+	share := minHintShare + (maxHintShare-minHintShare)*e.rand.Float64()
+	return time.Duration(share * float64(r.Left)), false
+}
+
+// weighs reports whether the runs of the class decide on a request.
+func (c *class) weighs(r Request) bool {
+	return len(c.reports) > 0 && r.Left > 0 && float64(r.Left) >= firstShare*float64(max(c.longest, c.longestBefore))
+}
+
+// completes reports whether a request most probably completes, by the recent runs.
+func (c *class) completes(r Request, runs Runs) bool {
 	limit := minChance
 	if r.Repeatable {
 		limit = minRepeatableChance
 	}
-	runs := c.recent(now)
-	if runs.Total < minRuns || float64(runs.Total-runs.Failed) >= limit*float64(runs.Total) || e.rand.Float64() < probeShare {
-		return 0, true
-	}
-	share := minHintShare + (maxHintShare-minHintShare)*e.rand.Float64()
-	return time.Duration(share * float64(r.Left)), false
+	return runs.Total < minRuns || float64(runs.Total-runs.Failed) >= limit*float64(runs.Total)
 }
 
 // recent returns the sum of the reports that still count, and drops the others.
--- a/io/process/dogcli/dogcli.go
+++ b/io/process/dogcli/dogcli.go
@@ -107,7 +107,7 @@
 		ErrWriter:      a.options.Stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Main reports errors.
 		Commands: []*cli.Command{a.nodeCommand(), a.sidecarCommand(), a.settingsCommand(), a.contractCommand(), a.statusCommand(),
-			a.rangeCommand(), a.quarantineCommand(), a.drainCommand()},
+			a.rangeCommand(), a.quarantineCommand(), a.drainCommand(), a.explainCommand()},
 	}
 	handleUsageErrors(root)
 	return root
--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -23,10 +23,11 @@
 	metrics *dogmetric.Set
 	tables  *dogtable.Holder
 	split   *dogtable.Split
-	offers  sync.Mutex              // Held while a configuration is put in force.
-	raw     atomic.Pointer[[]byte]  // Unparsed configuration in force, for other nodes.
-	inForce []func(*dogtable.Table) // Called with each table that is put in force, in order.
-	keys    *freshness              // Nil if keys are trusted without a bound.
+	offers  sync.Mutex                // Held while a configuration is put in force.
+	raw     atomic.Pointer[[]byte]    // Unparsed configuration in force, for other nodes.
+	since   atomic.Pointer[time.Time] // When the configuration was put in force here.
+	inForce []func(*dogtable.Table)   // Called with each table that is put in force, in order.
+	keys    *freshness                // Nil if keys are trusted without a bound.
 }
 
 // offer puts a value in force if it is valid and newer than the configuration
@@ -61,6 +62,8 @@
 	if !c.tables.Offer(t) {
 		return
 	}
+	since := time.Now()
+	c.since.Store(&since)
 	c.split.Reset()
 	c.raw.Store(&value)
 	for _, f := range c.inForce {
--- a/io/process/dogsidecar/fresh.go
+++ b/io/process/dogsidecar/fresh.go
@@ -275,3 +275,13 @@
 		p.state.ConfigSeen(resp.version, addr)
 	}
 }
+
+// inspect returns how long ago the version in force is known to have been the newest, and
+// whether the keys of a version are trusted. It changes nothing.
+func (f *freshness) inspect(version int64) (age time.Duration, known, trusted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	_, age, known = f.tracker.Age(now)
+	return age, known, f.tracker.Trusted(version, now)
+}
--- a/io/process/dogsidecar/pressure.go
+++ b/io/process/dogsidecar/pressure.go
@@ -35,3 +35,10 @@
 	defer p.mu.Unlock()
 	return p.table.UpstreamReport(time.Now(), r, own).Downstream
 }
+
+// inspect returns what Admit would decide; see dogpressure.Table.Inspect.
+func (p *pressure) inspect(now time.Time, r dogwoodford.Request) (cutoff dogwoodford.Priority, retryAfter time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Inspect(now, r)
+}
--- a/io/process/dogsidecar/quota.go
+++ b/io/process/dogsidecar/quota.go
@@ -259,3 +259,10 @@
 		q.log.event(doglog.QuotaFallback, slog.String("peer", lender), slog.Bool("active", active))
 	}
 }
+
+// inspect returns what Take would decide, and takes no token.
+func (q *quotas) inspect(now time.Time, w *dogtable.Workspace) dogquota.Inspection {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.node.Inspect(now, dogquota.WorkspaceID(w.Name()))
+}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -82,6 +82,10 @@
 	progress       *progress
 	lag            *doglag.Monitor
 	quotas         *quotas // Nil if the settings have none.
+	router         *dogroute.Router
+	balancer       *doggate.Balancer // Guards router.
+	pressure       *pressure
+	trees          *trees
 	settingsSource SettingsSource
 	servers        []*dogserve.Server
 	requestServers []*dogserve.Server // Those of servers that take requests of callers and other nodes.
@@ -152,19 +156,20 @@
 	n.state.setSlots = gate.SetSlots
 	n.state.ramps = &rampMonitor{gate: gate, log: n.log, metrics: n.metrics}
 	n.quotas = newQuotas(n, tables, time.Now())
+	n.router = dogroute.New(dogroute.Options{
+		DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
+		ByCompletion: routeByCompletion,
+	})
+	n.balancer = doggate.NewBalancer(n.router)
+	n.pressure = &pressure{table: dogpressure.New(dogpressure.Options{
+		Rand: newRand(), UseMean: true, Refresh: cutoffRefreshInterval, RetryByRefusalShare: true,
+	})}
+	n.trees = newTrees()
 	relayConfig := dogrelay.Config{
 		Headers: dialect.Headers(), Node: settings.Node, Service: settings.Service,
 		DataCentre: settings.DataCentre, Peer: settings.Advertised, TargetAddress: settings.Target,
 		Tables: tables, Split: split, Fleet: n.state, Local: n.state, Budget: n.state, Crashes: n.state, Gate: gate,
-		Pressure: &pressure{table: dogpressure.New(dogpressure.Options{
-			Rand: newRand(), UseMean: true, Refresh: cutoffRefreshInterval, RetryByRefusalShare: true,
-		})},
-		Trees: newTrees(), Shares: shares, Quotas: n.relayQuotas(),
-		Router: doggate.NewBalancer(dogroute.New(dogroute.Options{
-			DataCentre: settings.DataCentre, SlowStart: slowStart, Rand: newRand(), Sample: routeSampleSize,
-			ByCompletion: routeByCompletion,
-		})),
-		Peers: toPeers,
+		Pressure: n.pressure, Trees: n.trees, Shares: shares, Quotas: n.relayQuotas(), Router: n.balancer, Peers: toPeers,
 		Target: dogconn.NewTarget(dogconn.Options{
 			MaxConns: maxConns, IdleTimeout: targetIdleTimeout, DialTimeout: dialTimeout, Liveness: liveness,
 		}),
@@ -227,7 +232,7 @@
 		n.newServer("control", n.settings.Control, n.dialect.Control(n.state)),
 	}
 	if n.settings.Metrics != "" {
-		servers = append(servers, n.newServer("metrics", n.settings.Metrics, n.metrics.Handler()))
+		servers = append(servers, n.newServer("metrics", n.settings.Metrics, n.metricsHandler()))
 	}
 	return servers
 }
--- a/io/process/dogsidecar/trees.go
+++ b/io/process/dogsidecar/trees.go
@@ -46,3 +46,10 @@
 	defer t.mu.Unlock()
 	return t.estimator.Admit(time.Now(), r)
 }
+
+// inspect returns what MayStart would decide.
+func (t *trees) inspect(now time.Time, r dogtree.Request) dogtree.Inspection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.estimator.Inspect(now, r)
+}
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -167,3 +167,10 @@
 	e, _, ok := s.fleet.Entry(name)
 	return e, ok
 }
+
+// serviceTargets returns all known targets of a service.
+func (s *state) serviceTargets(now time.Time, service string) []dogfleet.ServiceTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.ServiceTargets(now, service)
+}
--- a/io/request/doggate/balancer.go
+++ b/io/request/doggate/balancer.go
@@ -60,3 +60,10 @@
 	defer b.mu.Unlock()
 	b.router.RecordCompletion(digest)
 }
+
+// Inspect calls f, which must not change the router, while nothing else uses it.
+func (b *Balancer) Inspect(f func(now time.Time)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(time.Now())
+}
