--- a/io/process/dogsidecar/config.go
+++ b/io/process/dogsidecar/config.go
@@ -23,10 +23,13 @@
 	metrics *dogmetric.Set
 	tables  *dogtable.Holder
 	split   *dogtable.Split
-	offers  sync.Mutex              // Held while a configuration is put in force.
-	raw     atomic.Pointer[[]byte]  // Unparsed configuration in force without keys, for other nodes; nil if there is none.
-	inForce []func(*dogtable.Table) // Called with each table that is put in force, in order.
-	keys    *freshness              // Nil if keys are trusted without a bound.
+	offers  sync.Mutex // Held while a configuration is put in force.
+	// raw is the unparsed configuration in force without keys, for other nodes; nil if
+	// there is none.
+	raw     atomic.Pointer[[]byte]
+	since   atomic.Pointer[time.Time] // When the configuration was put in force here.
+	inForce []func(*dogtable.Table)   // Called with each table that is put in force, in order.
+	keys    *freshness                // Nil if keys are trusted without a bound.
 }
 
 // offer puts a value in force if it is valid and newer than the configuration
@@ -61,6 +64,8 @@
 	if !c.tables.Offer(t) {
 		return
 	}
+	since := time.Now()
+	c.since.Store(&since)
 	c.split.Reset()
 	c.publish(value, from)
 	for _, f := range c.inForce {
