Explain: a node without a configuration trusts no keys

The answer of such a node said that keys are trusted, which read as if one were in force. Seen on a running process. Race tests of dogsidecar pass.

--- a/io/process/dogsidecar/explain.go
+++ b/io/process/dogsidecar/explain.go
@@ -54,7 +54,7 @@
 	e := &explanation{node: n, now: now, query: q}
 	e.answer = dogexplain.Answer{
 		Node: n.settings.Node, DataCentre: n.settings.DataCentre,
-		Config: dogexplain.Config{AgeMs: -1, Trusted: true},
+		Config: dogexplain.Config{AgeMs: -1},
 	}
 	if n.state.Leaving() {
 		e.refuse(http.StatusServiceUnavailable, dogwoodford.ReasonDraining, "the node is stopping", dogrelay.RetryHint(dogwoodford.ReasonDraining))
@@ -103,6 +103,7 @@
 		c.SinceMs = e.now.Sub(*since).Milliseconds()
 	}
 	if e.keys == nil {
+		c.Trusted = true
 		return
 	}
 	age, known, trusted := e.keys.inspect(t.Version())
