Tests: dogrelay's client keeps connections of its own

Traced: httptest.Server.Close closes the idle connections of http.DefaultTransport, also one that was just dialled for a request of a parallel test ("http: CloseIdleConnections called"; seen again with six runs at once).

Change: the tests of the package use a transport of their own.

--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -37,6 +37,11 @@
 	NotExecuted: "X-Not-Run", Caller: "X-Caller", Rate: "X-Rate", Leaving: "X-Leaving", Key: "X-Key", Workspace: "X-Workspace",
 }
 
+// testClient sends the requests of tests. It is not http.DefaultTransport, whose idle
+// connections every httptest.Server closes when it ends, also one that was dialled for a
+// request of another test.
+var testClient = &http.Transport{}
+
 // fakeTarget answers every request as its script specifies.
 type fakeTarget struct {
 	addr   string
--- a/io/request/dogrelay/fresh_test.go
+++ b/io/request/dogrelay/fresh_test.go
@@ -47,7 +47,7 @@
 	req.Host = "h"
 	req.Header.Set(testHeaders.Attempt, "a1")
 	req.Header.Set(testHeaders.Key, "n1")
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := testClient.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -32,7 +32,7 @@
 	req.Host = "h"
 	req.Header.Set(testHeaders.Attempt, id)
 	req.Header.Set(testHeaders.Caller, "forged")
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := testClient.RoundTrip(req)
 	if err != nil {
 		return 0, nil, "", err
 	}
@@ -169,7 +169,7 @@
 	}
 	req.Host = "h"
 	req.Header.Set(testHeaders.Attempt, "a1")
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := testClient.RoundTrip(req)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -424,7 +424,7 @@
 		}
 		req.Host = "h"
 		req.Header.Set(testHeaders.Attempt, fmt.Sprint("long-", tc.length))
-		resp, err := http.DefaultTransport.RoundTrip(req)
+		resp, err := testClient.RoundTrip(req)
 		if err != nil {
 			t.Errorf("%d bytes: %v", tc.length, err)
 			continue
--- a/io/request/dogrelay/workspace_test.go
+++ b/io/request/dogrelay/workspace_test.go
@@ -116,7 +116,7 @@
 		n.relay.cfg.Keys, n.relay.cfg.Quotas = keys, keys
 	}
 	req.URL.Scheme, req.URL.Host, req.Host = "http", entry.entry.Listener.Addr().String(), "h"
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := testClient.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -148,7 +148,7 @@
 	req.Host = "h"
 	req.Header.Set(testHeaders.Attempt, "a1")
 	req.Header.Set(testHeaders.Key, "n1")
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := testClient.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
