--- /dev/null
+++ b/review/stand-2/cases.go
@@ -0,0 +1,312 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+var depotRoute = route{
+	Name: "stock-count", PathPrefix: "/depot/", Kind: "idempotent", Timeout: "1500ms", TargetLatency: "400ms", Priority: 2,
+	Service: "depot", Attempts: 2,
+}
+
+// fleet holds the present worker of each machine.
+type fleet struct {
+	mu      sync.Mutex
+	started int
+	workers map[string]*worker
+}
+
+// crashing is a deployment in which one request crashes each worker that begins to run it.
+type crashing struct {
+	*deployment
+	fleet
+	back    time.Duration // Time from a crash to the next start of the worker.
+	poison  string        // Path of the request.
+	poisons bool          // The request crashes workers now.
+	crashes []time.Time
+}
+
+// startWorker starts the next worker beside m.
+func (c *crashing) startWorker(m *machine) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	w := c.newWorker(m, fmt.Sprintf("i-%08x", 0x7f3a0000+c.started))
+	w.crash = c.hit
+	if c.workers == nil {
+		c.workers = make(map[string]*worker)
+	}
+	c.workers[m.name] = w
+	return w.start()
+}
+
+// hit crashes w if r is the request that does so. The worker is back after c.back.
+func (c *crashing) hit(w *worker, r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.URL.Path != c.poison || !c.poisons {
+		return false
+	}
+	c.crashes = append(c.crashes, time.Now())
+	c.rec.add("worker", "%s on %s crashes, crash %d", w.id, w.m.name, len(c.crashes))
+	go func() {
+		w.end()
+		time.Sleep(c.back)
+		if err := c.startWorker(w.m); err != nil {
+			c.rec.add("worker", "no start: %v", err)
+		}
+	}()
+	return true
+}
+
+// late returns how often the request was run later than contact after its third crash.
+func (c *crashing) late() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.crashes[min(3, len(c.crashes)):] {
+		if at.Sub(c.crashes[2]) > contact {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *crashing) endWorkers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		w.end()
+	}
+}
+
+func deployCrashing(rec *record, back time.Duration) (*crashing, error) {
+	d, err := deploy(rec, []string{"rounds", "rounds", "depot", "depot", "depot"}, depotRoute,
+		route{Name: "round-sheet", PathPrefix: "/rounds/", Kind: "idempotent", Timeout: "1500ms", TargetLatency: "1500ms", Priority: 2, Service: "rounds", Attempts: 2})
+	if err != nil {
+		return nil, err
+	}
+	c := &crashing{deployment: d, back: back, poison: "/depot/7c1"}
+	for _, m := range d.machines {
+		if err := c.startWorker(m); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	if err := d.awaitReady(); err != nil {
+		d.close()
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	return c, nil
+}
+
+// playCrash sends a request that crashes its workers every 8 s. A crashed worker is back
+// after 6 s.
+func playCrash(rec *record) (bool, error) {
+	c, err := deployCrashing(rec, 6*time.Second)
+	if err != nil {
+		return false, err
+	}
+	defer c.close()
+	defer c.endWorkers()
+	c.poisons = c.trouble
+	for n := range 9 {
+		m := c.machines[n%2]
+		for k := range 2 {
+			send(rec, c.machines[k], "GET", fmt.Sprintf("/depot/ok%d%d", n, k), 1500*time.Millisecond)
+			send(rec, c.machines[k], "GET", fmt.Sprintf("/rounds/ok%d%d", n, k), 1500*time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		send(rec, m, "GET", c.poison, 1500*time.Millisecond)
+		time.Sleep(7 * time.Second)
+	}
+	rec.add("check", "%d crashes, %d of them later than %v after the third; 3 are allowed", len(c.crashes), c.late(), contact)
+	return c.late() > 3, nil
+}
+
+// playCompleted lets a content complete before it crashes workers.
+func playCompleted(rec *record) (bool, error) {
+	c, err := deployCrashing(rec, 2*time.Second)
+	if err != nil {
+		return false, err
+	}
+	defer c.close()
+	defer c.endWorkers()
+	for n := range 12 {
+		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.mu.Lock()
+	c.poisons = c.trouble
+	c.mu.Unlock()
+	for n := range 14 {
+		for k := range 10 {
+			send(rec, c.machines[k%2], "GET", fmt.Sprintf("/depot/ok%d%d", n, k), 1500*time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+		}
+		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	rec.add("check", "%d crashes, %d of them later than %v after the third; 3 are allowed", len(c.crashes), c.late(), contact)
+	return c.late() > 3, nil
+}
+
+// playBorn lets a worker start again under its id while the clock of its machine is back
+// by 2.4 s, and drain later.
+func playBorn(rec *record) (bool, error) {
+	d, err := deploy(rec, []string{"rounds", "depot", "depot"}, depotRoute)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	front := d.newWorker(d.machines[0], "i-7f3a0001")
+	stays := d.newWorker(d.machines[1], "i-7f3a0002")
+	for _, w := range []*worker{front, stays} {
+		if err := w.start(); err != nil {
+			return false, err
+		}
+		defer w.end()
+	}
+	first := d.newWorker(d.machines[2], "i-7f3a0003")
+	if err := first.start(); err != nil {
+		return false, err
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	rec.add("worker", "%s crashes", first.id)
+	first.end()
+	time.Sleep(200 * time.Millisecond)
+	second := d.newWorker(d.machines[2], first.id)
+	second.quiet = false
+	if d.trouble {
+		rec.add("platform", "the time of day of %s jumps back by 2.4 s", second.m.name)
+		second.born -= 2400
+	}
+	if err := second.start(); err != nil {
+		return false, err
+	}
+	defer second.end()
+	time.Sleep(500 * time.Millisecond)
+	load := func(length time.Duration) {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(60 * time.Millisecond) {
+			go send(rec, d.machines[0], "GET", fmt.Sprintf("/depot/%d", time.Now().UnixNano()%10000), 1500*time.Millisecond)
+		}
+	}
+	load(10 * time.Second)
+	second.drain()
+	load(9 * time.Second)
+	acked := second.ackedAt()
+	if acked.IsZero() {
+		return false, fmt.Errorf("the drain was not acknowledged")
+	}
+	late := 0
+	for _, r := range d.runs.list() {
+		if r.worker == second.id && r.at.Sub(acked) > drain {
+			late++
+		}
+	}
+	rec.add("check", "drain acknowledged at %.3f; %d requests reached %s later than %v after it", acked.Sub(rec.began).Seconds(), late, second.id, drain)
+	return late > 0, nil
+}
+
+// playSeal lets a worker fail part of its requests with a status that clients take for a
+// promise.
+func playSeal(rec *record) (bool, error) {
+	d, err := deploy(rec, []string{"rounds", "depot", "depot"}, depotRoute)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	var mu sync.Mutex
+	n := 0
+	for i, m := range d.machines {
+		w := d.newWorker(m, fmt.Sprintf("i-7f3a000%d", i))
+		w.answer = func(*http.Request) int {
+			mu.Lock()
+			defer mu.Unlock()
+			if n++; d.trouble && n%2 == 0 {
+				return http.StatusServiceUnavailable
+			}
+			return http.StatusOK
+		}
+		if err := w.start(); err != nil {
+			return false, err
+		}
+		defer w.end()
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	mixed := 0
+	for i := range 60 {
+		a := send(rec, d.machines[0], "GET", fmt.Sprintf("/depot/%d", i), 1500*time.Millisecond)
+		if a.status/100 != 2 && a.seal != "" && a.seal != seal(a.id, a.status, a.body) {
+			mixed++
+		}
+	}
+	rec.add("check", "%d failures bear a seal of a worker that gave another status", mixed)
+	return mixed > 0, nil
+}
+
+// playGarbage lets another writer replace entries by bytes that can't be read, before all
+// processes are killed.
+func playGarbage(rec *record) (bool, error) {
+	d, err := deploy(rec, []string{"rounds", "rounds", "depot", "depot"}, depotRoute)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	for i, m := range d.machines {
+		w := d.newWorker(m, fmt.Sprintf("i-7f3a000%d", i))
+		if err := w.start(); err != nil {
+			return false, err
+		}
+		defer w.end()
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	load := func(length time.Duration) (served, all int) {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			all++
+			if send(rec, d.machines[all%2], "GET", fmt.Sprintf("/depot/%d", all), 1500*time.Millisecond).served() {
+				served++
+			}
+		}
+		return served, all
+	}
+	before, allBefore := load(5 * time.Second)
+	if d.trouble {
+		for _, m := range d.machines[2:] {
+			spec, _ := json.Marshal(map[string]any{"node": 7})
+			rec.add("platform", "another writer replaces the entry %s by %s", m.name, spec)
+			d.store.write(entryKind, m.name, spec)
+		}
+	}
+	during, allDuring := load(3 * time.Second)
+	rec.add("platform", "all nodes are killed")
+	for _, m := range d.machines {
+		m.kill()
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, m := range d.machines {
+		if err := m.start(); err != nil {
+			return false, err
+		}
+	}
+	rec.add("platform", "all nodes are started again")
+	load(recovery)
+	after, allAfter := load(15 * time.Second)
+	rec.add("check", "served before %d of %d, with the entries replaced %d of %d, later than %v after the start %d of %d",
+		before, allBefore, during, allDuring, recovery, after, allAfter)
+	return 4*after < allAfter && 4*before >= allBefore, nil
+}
