--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -76,6 +76,13 @@
 	return n
 }
 
+// count returns the number of crashes so far.
+func (c *crashing) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
 func (c *crashing) endWorkers() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -310,3 +317,192 @@
 		before, allBefore, during, allDuring, recovery, after, allAfter)
 	return 4*after < allAfter && 4*before >= allBefore, nil
 }
+
+// playLeave lets a worker leave while the store is silent, kills its node after it has
+// acknowledged that, and delivers a heartbeat from before the leave late.
+func playLeave(rec *record) (bool, error) {
+	d, err := deploy(rec, []string{"rounds", "depot", "depot"}, depotRoute)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	var workers []*worker
+	for i, m := range d.machines {
+		w := d.newWorker(m, fmt.Sprintf("i-7f3a000%d", i))
+		if err := w.start(); err != nil {
+			return false, err
+		}
+		defer w.end()
+		workers = append(workers, w)
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	leaving := workers[2]
+	leaving.quiet = false
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				load.Go(func() {
+					send(rec, d.machines[0], "GET", fmt.Sprintf("/depot/%d", time.Now().UnixNano()%100000), 1500*time.Millisecond)
+				})
+			}
+		}
+	})
+	time.Sleep(3 * time.Second)
+	if d.trouble {
+		rec.add("platform", "the store is silent")
+		d.store.setAway(true)
+	}
+	began := time.Now()
+	late := leaving.lateBeat()
+	time.Sleep(300 * time.Millisecond)
+	leaving.leave()
+	if d.trouble {
+		rec.add("platform", "the node of %s is killed", leaving.m.name)
+		leaving.m.kill()
+		time.Sleep(500 * time.Millisecond)
+		if err := leaving.m.start(); err != nil {
+			return false, err
+		}
+		rec.add("platform", "the node of %s is started again", leaving.m.name)
+	}
+	time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
+	if d.trouble {
+		rec.add("platform", "the store answers again")
+		d.store.setAway(false)
+	}
+	inTouch := time.Now().Add(contact)
+	time.Sleep(time.Until(began.Add(5500 * time.Millisecond)))
+	late()
+	time.Sleep(time.Until(began.Add(15 * time.Second)))
+	close(stop)
+	load.Wait()
+	acked := leaving.ackedAt()
+	if acked.IsZero() {
+		return false, fmt.Errorf("the leave was not acknowledged")
+	}
+	n := 0
+	for _, r := range d.runs.list() {
+		if r.worker == leaving.id && r.at.Sub(acked) > drain && r.at.After(inTouch) {
+			n++
+		}
+	}
+	rec.add("check", "leave acknowledged at %.3f; %d requests reached %s later than %v after it, with all machines in touch",
+		acked.Sub(rec.began).Seconds(), n, leaving.id, drain)
+	return n > 0, nil
+}
+
+// playKilled kills all nodes after the third crash of a request that crashes its workers. A
+// crashed worker is back after 4 s.
+func playKilled(rec *record) (bool, error) {
+	c, err := deployCrashing(rec, 4*time.Second)
+	if err != nil {
+		return false, err
+	}
+	defer c.close()
+	defer c.endWorkers()
+	c.mu.Lock()
+	c.poisons = true
+	c.mu.Unlock()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(250 * time.Millisecond):
+				load.Go(func() {
+					send(rec, c.machines[n%2], "GET", fmt.Sprintf("/depot/ok%d", n), 1500*time.Millisecond)
+				})
+			}
+		}
+	})
+	for n := 0; c.count() < 3; n++ {
+		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if c.trouble {
+		rec.add("platform", "all nodes are killed")
+		for _, m := range c.machines {
+			m.kill()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range c.machines {
+			if err := m.start(); err != nil {
+				return false, err
+			}
+		}
+		rec.add("platform", "all nodes are started again")
+	}
+	time.Sleep(2 * contact)
+	for n := range 12 {
+		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
+		time.Sleep(5 * time.Second)
+	}
+	close(stop)
+	load.Wait()
+	rec.add("check", "%d crashes, %d of them later than %v after the third; 3 are allowed", c.count(), c.late(), contact)
+	return c.late() > 3, nil
+}
+
+// playStops stops two machines 1.3 s apart. Requests that must not run twice are sent at the
+// second one and run beside the first one.
+func playStops(rec *record) (bool, error) {
+	r := route{Name: "invoice-run", PathPrefix: "/billing/", Kind: "non_idempotent", Timeout: "5000ms", TargetLatency: "1500ms", Service: "billing", Attempts: 2}
+	d, err := deploy(rec, []string{"rounds", "billing", "billing"}, r)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	for i, m := range d.machines {
+		w := d.newWorker(m, fmt.Sprintf("i-7f3a000%d", i))
+		w.work = 3300 * time.Millisecond
+		if err := w.start(); err != nil {
+			return false, err
+		}
+		defer w.end()
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(3500 * time.Millisecond)
+	if d.trouble {
+		rec.add("platform", "SIGTERM to the node of %s", d.machines[1].name)
+		d.machines[1].terminate()
+	}
+	time.Sleep(1300 * time.Millisecond)
+	rec.add("platform", "SIGTERM to the node of %s", d.machines[0].name)
+	d.machines[0].terminate()
+	signalled := time.Now()
+	time.Sleep(800 * time.Millisecond)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	lost := 0
+	for i := range 16 {
+		wg.Go(func() {
+			a := send(rec, d.machines[0], "POST", fmt.Sprintf("/billing/%d", i), 5*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, x := range d.runs.list() {
+				// In the last sixth of the grace time it may be broken off.
+				if x.id == a.id && !a.served() && time.Since(signalled) < 5*time.Second {
+					lost++
+					rec.add("check", "%s was broken off %.3f s after the signal of its machine, its worker at work", a.id, time.Since(signalled).Seconds())
+				}
+			}
+		})
+		time.Sleep(15 * time.Millisecond)
+	}
+	wg.Wait()
+	rec.add("check", "%d requests broken off", lost)
+	return lost > 0, nil
+}
--- a/review/stand-2/machine.go
+++ b/review/stand-2/machine.go
@@ -138,12 +138,15 @@
 	<-m.exited
 }
 
+// terminate sends SIGTERM.
+func (m *machine) terminate() { m.cmd.Process.Signal(syscall.SIGTERM) }
+
 // close ends the node, if it was started.
 func (m *machine) close() {
 	if m.cmd == nil {
 		return
 	}
-	m.cmd.Process.Signal(syscall.SIGTERM)
+	m.terminate()
 	select {
 	case <-m.exited:
 	case <-time.After(7 * time.Second):
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -144,7 +144,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*record) (bool, error){
-	"crash": playCrash, "born": playBorn, "seal": playSeal, "garbage": playGarbage, "completed": playCompleted,
+	"crash": playCrash, "born": playBorn, "seal": playSeal, "garbage": playGarbage, "completed": playCompleted, "leave": playLeave, "killed": playKilled, "stops": playStops,
 }
 
 func main() {
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -42,6 +42,7 @@
 	kinds    map[string]map[string]object
 	history  []change
 	changed  chan struct{} // Closed at the next change.
+	away     bool          // Calls are not answered and do nothing.
 }
 
 // startStore starts a store on a free port of ip.
@@ -55,6 +56,19 @@
 	return s, nil
 }
 
+// setAway makes the store silent, or answer again.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 // write creates or replaces an object without a condition, and returns its revision.
 func (s *store) write(kind, name string, spec json.RawMessage) int64 {
 	s.mu.Lock()
@@ -111,6 +125,11 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if s.isAway() {
+		io.Copy(io.Discard, r.Body) // Or else the end of the connection is not seen.
+		<-r.Context().Done()
+		return
+	}
 	kind, name, _ := strings.Cut(path, "/")
 	var status int
 	var answer any
@@ -122,6 +141,10 @@
 	default:
 		status, answer = s.object(r, kind, name)
 	}
+	if s.isAway() { // A watch that began before.
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if answer != nil {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex
 	sequence int64
 	draining bool
+	left     bool
 	acked    time.Time // First acknowledgement that it is draining or gone.
 }
 
@@ -110,37 +111,82 @@
 // beat sends one heartbeat.
 func (w *worker) beat() {
 	w.mu.Lock()
+	if w.left {
+		w.mu.Unlock()
+		return
+	}
 	w.sequence++
-	sequence, draining := w.sequence, w.draining
-	w.mu.Unlock()
 	state := "ready"
-	if draining {
+	if w.draining {
 		state = "draining"
 	}
+	sequence := w.sequence
+	w.mu.Unlock()
+	w.sendBeat(state, sequence)
+}
+
+// lateBeat returns a heartbeat that is sent now and arrives when the result is called.
+func (w *worker) lateBeat() func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	sequence := w.sequence
+	w.rec.add("beat", "%s sends ready (sequence %d), which arrives late", w.id, sequence)
+	return func() { w.sendBeat("ready", sequence) }
+}
+
+func (w *worker) sendBeat(state string, sequence int64) {
 	data, _ := json.Marshal(map[string]any{
 		"address": w.m.at(w.m.ports.app), "born": w.born,
 		"info":   map[string]any{"service": w.m.service, "version": "v1", "zone": w.m.zone, "slots": 16},
 		"status": map[string]any{"state": state, "sequence": sequence, "coldRemaining": "0ms"},
 	})
+	status := w.call(http.MethodPut, data)
+	if !w.quiet {
+		w.rec.add("beat", "%s says %s (sequence %d), answered %d", w.id, state, sequence, status)
+	}
+	if status/100 == 2 && state == "draining" {
+		w.acknowledged()
+	}
+}
+
+// leave says that the worker is gone, without a drain before; it goes on serving.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.left = true
+	w.mu.Unlock()
+	status := w.call(http.MethodDelete, nil)
+	w.rec.add("beat", "%s leaves, answered %d", w.id, status)
+	if status/100 == 2 {
+		w.acknowledged()
+	}
+}
+
+func (w *worker) acknowledged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.acked.IsZero() {
+		w.acked = time.Now()
+	}
+}
+
+// call makes a call about the worker to its node and returns the status, 0 if there is no
+// answer within a second or if it is too long.
+func (w *worker) call(method string, data []byte) int {
 	url := "http://" + w.m.at(w.m.ports.control) + "/dogwoodford/instances/" + w.id
-	req, _ := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	req, _ := http.NewRequest(method, url, bytes.NewReader(data))
 	req.Header.Set("Content-Type", "application/json")
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return
+		return 0
 	}
 	body, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
-	acked := err == nil && resp.StatusCode/100 == 2 && len(body) <= 4096
-	if !w.quiet {
-		w.rec.add("beat", "%s says %s (sequence %d), answered %d", w.id, state, sequence, resp.StatusCode)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if acked && draining && w.acked.IsZero() {
-		w.acked = time.Now()
+	if err != nil || len(body) > 4096 {
+		return 0
 	}
+	return resp.StatusCode
 }
 
 // seal returns the signature of an answer.
