--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -213,12 +213,7 @@
 	if acked.IsZero() {
 		return false, fmt.Errorf("the drain was not acknowledged")
 	}
-	late := 0
-	for _, r := range d.runs.list() {
-		if r.worker == second.id && r.at.Sub(acked) > drain {
-			late++
-		}
-	}
+	late := d.runs.late(second.id, acked, acked)
 	rec.add("check", "drain acknowledged at %.3f; %d requests reached %s later than %v after it", acked.Sub(rec.began).Seconds(), late, second.id, drain)
 	return late > 0, nil
 }
@@ -300,17 +295,9 @@
 		}
 	}
 	during, allDuring := load(3 * time.Second)
-	rec.add("platform", "all nodes are killed")
-	for _, m := range d.machines {
-		m.kill()
-	}
-	time.Sleep(500 * time.Millisecond)
-	for _, m := range d.machines {
-		if err := m.start(); err != nil {
-			return false, err
-		}
+	if err := d.killAndStart(d.machines...); err != nil {
+		return false, err
 	}
-	rec.add("platform", "all nodes are started again")
 	load(recovery)
 	after, allAfter := load(15 * time.Second)
 	rec.add("check", "served before %d of %d, with the entries replaced %d of %d, later than %v after the start %d of %d",
@@ -341,20 +328,7 @@
 	time.Sleep(2 * time.Second)
 	leaving := workers[2]
 	leaving.quiet = false
-	stop := make(chan struct{})
-	var load sync.WaitGroup
-	load.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(100 * time.Millisecond):
-				load.Go(func() {
-					send(rec, d.machines[0], "GET", fmt.Sprintf("/depot/%d", time.Now().UnixNano()%100000), 1500*time.Millisecond)
-				})
-			}
-		}
-	})
+	stop := d.load(100*time.Millisecond, d.machines[:1])
 	time.Sleep(3 * time.Second)
 	if d.trouble {
 		rec.add("platform", "the store is silent")
@@ -365,13 +339,9 @@
 	time.Sleep(300 * time.Millisecond)
 	leaving.leave()
 	if d.trouble {
-		rec.add("platform", "the node of %s is killed", leaving.m.name)
-		leaving.m.kill()
-		time.Sleep(500 * time.Millisecond)
-		if err := leaving.m.start(); err != nil {
+		if err := d.killAndStart(leaving.m); err != nil {
 			return false, err
 		}
-		rec.add("platform", "the node of %s is started again", leaving.m.name)
 	}
 	time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
 	if d.trouble {
@@ -382,18 +352,12 @@
 	time.Sleep(time.Until(began.Add(5500 * time.Millisecond)))
 	late()
 	time.Sleep(time.Until(began.Add(15 * time.Second)))
-	close(stop)
-	load.Wait()
+	stop()
 	acked := leaving.ackedAt()
 	if acked.IsZero() {
 		return false, fmt.Errorf("the leave was not acknowledged")
 	}
-	n := 0
-	for _, r := range d.runs.list() {
-		if r.worker == leaving.id && r.at.Sub(acked) > drain && r.at.After(inTouch) {
-			n++
-		}
-	}
+	n := d.runs.late(leaving.id, acked, inTouch)
 	rec.add("check", "leave acknowledged at %.3f; %d requests reached %s later than %v after it, with all machines in touch",
 		acked.Sub(rec.began).Seconds(), n, leaving.id, drain)
 	return n > 0, nil
@@ -411,45 +375,23 @@
 	c.mu.Lock()
 	c.poisons = true
 	c.mu.Unlock()
-	stop := make(chan struct{})
-	var load sync.WaitGroup
-	load.Go(func() {
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(250 * time.Millisecond):
-				load.Go(func() {
-					send(rec, c.machines[n%2], "GET", fmt.Sprintf("/depot/ok%d", n), 1500*time.Millisecond)
-				})
-			}
-		}
-	})
+	stop := c.load(250*time.Millisecond, c.machines[:2])
 	for n := 0; c.count() < 3; n++ {
 		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
 		time.Sleep(200 * time.Millisecond)
 	}
 	time.Sleep(300 * time.Millisecond)
 	if c.trouble {
-		rec.add("platform", "all nodes are killed")
-		for _, m := range c.machines {
-			m.kill()
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, m := range c.machines {
-			if err := m.start(); err != nil {
-				return false, err
-			}
+		if err := c.killAndStart(c.machines...); err != nil {
+			return false, err
 		}
-		rec.add("platform", "all nodes are started again")
 	}
 	time.Sleep(2 * contact)
 	for n := range 12 {
 		send(rec, c.machines[n%2], "GET", c.poison, 1500*time.Millisecond)
 		time.Sleep(5 * time.Second)
 	}
-	close(stop)
-	load.Wait()
+	stop()
 	rec.add("check", "%d crashes, %d of them later than %v after the third; 3 are allowed", c.count(), c.late(), contact)
 	return c.late() > 3, nil
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -128,6 +128,43 @@
 	return &worker{id: id, m: m, born: time.Now().UnixMilli(), work: 40 * time.Millisecond, runs: &d.runs, rec: d.rec, quiet: true}
 }
 
+// load sends a request to the depot at each interval, by turns at these machines, until the
+// result is called.
+func (d *deployment) load(interval time.Duration, at []*machine) (stop func()) {
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(interval):
+				wg.Go(func() { send(d.rec, at[n%len(at)], "GET", fmt.Sprintf("/depot/ok%d", n), 1500*time.Millisecond) })
+			}
+		}
+	})
+	return func() {
+		close(stopped)
+		wg.Wait()
+	}
+}
+
+// killAndStart kills nodes at once and starts them again 0.5 s later.
+func (d *deployment) killAndStart(machines ...*machine) error {
+	for _, m := range machines {
+		m.kill()
+		d.rec.add("platform", "the node of %s is killed", m.name)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, m := range machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+		d.rec.add("platform", "the node of %s is started again", m.name)
+	}
+	return nil
+}
+
 // close ends all processes and keeps no files, unless KEEP is set.
 func (d *deployment) close() {
 	var wg sync.WaitGroup
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -40,6 +40,18 @@
 	return append([]run(nil), r.all...)
 }
 
+// late returns how many runs a worker began after from and later than drain after it was
+// acknowledged that it leaves.
+func (r *runs) late(worker string, acked, from time.Time) int {
+	n := 0
+	for _, x := range r.list() {
+		if x.worker == worker && x.at.Sub(acked) > drain && x.at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
 // worker is one incarnation of the application worker beside a node.
 type worker struct {
 	id     string
