--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -4,9 +4,9 @@
 //
 // Usage:
 //
-//	target/stand2 CASE RECORD
+//	target/stand2 CASE RECORD TROUBLE
 //
-// With TROUBLE=0 in the environment the disruption is left out. The exit code is 1 if the
+// With 0 for TROUBLE the disruption is left out, with 1 it is played. The exit code is 1 if the
 // rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	out   *os.File
 	began time.Time
+
+	trouble bool // The disruption is played.
 }
 
 func (r *record) add(who, format string, args ...any) {
@@ -83,7 +85,7 @@
 
 // deploy starts the store and one node for each service in services.
 func deploy(rec *record, services []string, routes ...route) (*deployment, error) {
-	d := &deployment{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	d := &deployment{rec: rec, trouble: rec.trouble}
 	var err error
 	if d.dir, err = os.MkdirTemp("", "stand2-"); err != nil {
 		return nil, err
@@ -185,8 +187,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "0" && os.Args[3] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD TROUBLE")
 		os.Exit(2)
 	}
 	out, err := os.Create(os.Args[2])
@@ -194,7 +196,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	rec := &record{out: out, began: time.Now()}
+	rec := &record{out: out, began: time.Now(), trouble: os.Args[3] == "1"}
+	rec.add("case", "%s, TROUBLE=%s", os.Args[1], os.Args[3])
 	broken, err := cases[os.Args[1]](rec)
 	switch {
 	case err != nil:
