dogconn: an answer whose reset the upload met isn't complete

Seen by callers: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one system call only. A long body is written beside the read of the answer; if the write met the reset, the next read returned the end of the connection, which is the end of such an answer.

Change: a connection keeps the first error of its writes. At the end of an answer that ends with its connection, the write in progress is ended and that error decides: with one, the answer is cut short and counts as lost. An answer that the target ends in order while the upload is being written stays whole. That works in both hops, as both use this transport.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -29,6 +29,10 @@
 // errHeadTooLong means that a response has more than maxHeadBytes before its body.
 var errHeadTooLong = errors.New("response head too long")
 
+// errCutShort means that the connection with whose end a response ends was not closed in
+// order, so that the rest of the response may be missing.
+var errCutShort = errors.New("response cut short")
+
 // headReader bounds the bytes that are read while the head of a response is read. A
 // faulty server may never end it.
 type headReader struct {
@@ -125,8 +129,9 @@
 		return resp, nil
 	}
 	// A response of unknown length ends when its connection is closed.
-	x.keepAlive = x.keepAlive && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
-	resp.Body = &responseBody{body: resp.Body, x: x}
+	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	x.keepAlive = x.keepAlive && !endsWithConn
+	resp.Body = &responseBody{body: resp.Body, x: x, endsWithConn: endsWithConn}
 	return resp, nil
 }
 
@@ -248,8 +253,9 @@
 
 // responseBody releases the connection at the end of the body.
 type responseBody struct {
-	body io.ReadCloser
-	x    *exchange
+	body         io.ReadCloser
+	x            *exchange
+	endsWithConn bool // Its end is that of the connection.
 }
 
 // Read implements io.Reader.
@@ -258,6 +264,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.body.Read(p)
+	if err == io.EOF && b.endsWithConn {
+		if writeErr := b.x.pconn.conn.endWrites(); writeErr != nil {
+			err = fmt.Errorf("%w: %w", errCutShort, writeErr)
+		}
+	}
 	if err != nil {
 		b.x.release(err == io.EOF && b.x.keepAlive)
 	}
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -217,6 +218,9 @@
 	sealed  bool
 	onClose func() // Called once, at the first Close; may be nil.
 	once    sync.Once
+
+	writing  sync.Mutex // Held during each write.
+	writeErr error      // First error of a write; guarded by writing.
 }
 
 // Close closes the connection.
@@ -239,7 +243,27 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endWrites ends the write in progress, if any, and makes all further ones fail. It
+// returns the error if one has failed before, which tells what a read cannot: the kernel
+// reports a reset to one system call only, and if that was a write, reads return io.EOF as
+// if the peer had closed the connection in order.
+func (c *conn) endWrites() error {
+	_ = c.SetWriteDeadline(pastDeadline) // Fails only on a closed connection.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.writeErr
 }
 
 func (c *conn) writeCount() uint64 {
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -47,7 +47,10 @@
 	addr   string
 	ln     net.Listener
 	script string
-	hold   chan struct{} // If set, endless sealed bodies begin when it is closed.
+	raw    string             // If set, the bytes of each response, in place of the script.
+	end    func(*net.TCPConn) // If set, ends each connection behind raw.
+	early  bool               // Responses are sent before the body of the request is read.
+	hold   chan struct{}      // If set, endless sealed bodies begin when it is closed.
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -112,6 +115,10 @@
 		f.mu.Lock()
 		f.begun++
 		f.mu.Unlock()
+		if f.early {
+			f.answer(c, r.Header.Get(testHeaders.Attempt))
+			return
+		}
 		data, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -143,6 +150,13 @@
 	if strings.HasPrefix(f.script, "large") {
 		return f.answerLarge(c, id)
 	}
+	if f.raw != "" {
+		_, err := io.WriteString(c, f.raw)
+		if f.end != nil {
+			f.end(c.(*net.TCPConn))
+		}
+		return err == nil && f.end == nil
+	}
 	if status, ok := strings.CutPrefix(f.script, "ran-"); ok {
 		head(status+" Status", id, seal+whole)
 		return true
--- a/io/request/dogrelay/relay_test.go
+++ b/io/request/dogrelay/relay_test.go
@@ -1,6 +1,7 @@
 package dogrelay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -153,28 +154,38 @@
 	}
 }
 
-// get sends a GET request of a kind to n through a dogpipeline server and returns its body.
+// get sends a request of a kind without a body, see send.
 func get(t *testing.T, n *testNode, kind string) (int, []byte, error) {
 	t.Helper()
-	srv := &dogpipeline.Server{Handler: n.relay.Entry()}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return send(t, n, kind, nil)
+}
+
+// send sends a request of a kind to n through a dogpipeline server. It returns the status, and
+// the body or the reason why there is none. It reads the answer also if the server does not
+// read the whole request, unlike net/http.
+func send(t *testing.T, n *testNode, kind string, content []byte) (int, []byte, error) {
+	t.Helper()
+	addr := listen(t, n.relay.Entry())
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer srv.Close()
-	go func() { _ = srv.Serve(ln) }()
-	req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+ln.Addr().String()+"/"+kind+"/x", nil)
+	defer c.Close()
+	req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+addr+"/"+kind+"/x", bytes.NewReader(content))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h"
 	req.Header.Set(testHeaders.Attempt, "a1")
-	resp, err := testClient.RoundTrip(req)
+	go req.Write(c)
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
 	if err != nil {
 		return 0, nil, err
 	}
-	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	if reason := resp.Header.Get(dogcall.HeaderReason); reason != "" {
+		body = []byte(reason)
+	}
 	return resp.StatusCode, body, err
 }
 
