dogconn: an answer with a status out of range is malformed

Seen by callers: on systems of this kind an answer with status 000 reached a client. Here a status of 600 to 999 reached callers as the target's; one below 100 was skipped like an informational answer, so that the request waited until its deadline (504), or took what came behind it as its answer.

Cause: net/http takes any three digits for a status, and the reader of answers took all below 200 but 101 for informational ones.

Evidence: TestBrokenAnswers, new, sends what its data describes through two nodes, as the first and as a later answer of a connection that then ends or stays.

Change: only 100 to 599 are statuses; 101 is none either, as no call asks for an upgrade. Others are a malformed answer, in both hops: its connection ends, the request may have run, and one that may be repeated goes to another target.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -29,6 +29,9 @@
 // errHeadTooLong means that a response has more than maxHeadBytes before its body.
 var errHeadTooLong = errors.New("response head too long")
 
+// errMalformed means that a response is not valid HTTP/1.1.
+var errMalformed = errors.New("malformed response")
+
 // errCutShort means that the connection with whose end a response ends was not closed in
 // order, so that the rest of the response may be missing.
 var errCutShort = errors.New("response cut short")
@@ -217,12 +220,28 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		final, err := isFinal(resp.StatusCode)
+		if err != nil {
+			return nil, err
+		}
+		if final {
 			return resp, nil
 		}
 	}
 }
 
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// isFinal reports whether a response with this status code is the last one to a call. It
+// returns an error if no server that speaks HTTP sends it: calls ask for no upgrade.
+func isFinal(status int) (bool, error) {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return false, fmt.Errorf("status %03d: %w", status, errMalformed)
+	}
+	return status >= http.StatusOK, nil
+}
+
 // release returns the connection to the pool, once. reusable tells whether the
 // connection can carry another call.
 func (x *exchange) release(reusable bool) {
--- a/io/request/dogrelay/broken_test.go
+++ b/io/request/dogrelay/broken_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"dogwoodford/internal/dogscript"
 	"dogwoodford/io/connection/dogpipeline"
 )
 
@@ -23,6 +28,60 @@
 	return ln.Addr().String()
 }
 
+// TestBrokenAnswers guards against answers that are not valid HTTP/1.1 and reach callers as
+// those of the target, and against waiting for the end of one.
+func TestBrokenAnswers(t *testing.T) {
+	dogscript.RunLines(t, "testdata/broken.txtar", func() func(*testing.T, []string) string { return sendToBroken })
+}
+
+// sendToBroken returns what callers get of the answer that w describes, which must depend
+// neither on its place on the connection nor on what comes behind it.
+func sendToBroken(t *testing.T, w []string) string {
+	t.Helper()
+	for i := range w {
+		text, err := strconv.Unquote(`"` + strings.TrimPrefix(w[i], "-") + `"`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w[i] = text
+	}
+	answer := fmt.Sprintf("%s Status\r\nX-Attempt: a1\r\nX-Seal: s\r\n%s\r\n%s", w[0], w[1], w[2])
+	var got []string
+	for _, later := range []bool{false, true} {
+		for _, closes := range []bool{false, true} {
+			got = append(got, sendTo(t, "non-idempotent", answer, later, closes)+"; "+sendTo(t, "idempotent", answer, later, closes))
+		}
+	}
+	return strings.Join(slices.Compact(got), " | ")
+}
+
+// sendTo sends a request through two nodes to a target that gives answer, on a new
+// connection or on one that has carried a whole answer, and then closes it or does not.
+// Another target answers "other".
+func sendTo(t *testing.T, kind, answer string, later, closes bool) string {
+	t.Helper()
+	const timeout = 10 * time.Second // No line of the data waits for it.
+	entry := newTestNode(t, "entry", "billing", "refuse", timeout)
+	guard, other := newTestNode(t, "guard", "rounds", "ok", timeout), newTestNode(t, "other", "rounds", "ok", timeout)
+	other.target.raw = strings.Replace(wholeResponse("a1"), "4\r\n\r\nbody", "5\r\n\r\nother", 1)
+	entry.addGuards(guard, other)
+	entry.targets[0].Peer = listen(t, guard.relay.Guard())
+	if later {
+		if status, body, err := get(t, entry, kind); err != nil || status != http.StatusOK || string(body) != "body" {
+			t.Fatalf("earlier answer: status %d, body %q, error %v", status, body, err)
+		}
+	}
+	guard.target.raw = answer
+	if closes {
+		guard.target.end = func(*net.TCPConn) {}
+	}
+	status, body, err := get(t, entry, kind)
+	if err != nil {
+		return "broken off"
+	}
+	return fmt.Sprintf("%d %s", status, body)
+}
+
 // TestUnframedAnswers guards against an answer that ends with its connection, was reset on
 // the way and looks complete, and against one that is refused because the target ended it in
 // order while the upload was being written. The kernel reports a reset to one system call
