dogconn: an answer with a blank in the name of a field is malformed

Seen by callers: on systems of this kind an answer whose head had a blank or a control byte in the name of a field reached a client, with that line or with a body that was not the target's. Here it did so with a blank.

Cause: net/http lets a blank in a name pass. "Transfer-Encoding :" and "Content-Length :" then name neither the end nor the encoding of the body, which ends with the connection.

Evidence: TestBrokenAnswers. On the code before, "Transfer-Encoding : chunked" gave the caller 200 with the bytes of the chunks in its body, "Content-Length : 4" a body that ended with the connection, or 502 for both kinds of requests at the deadline if it stayed open, and "X Y: 1" was passed on. Control bytes, a tab, an empty name and a line without a colon gave 502 before; they are in the data and stay as they were.

Change: a head, also that of an informational answer, whose field names are not tokens is a malformed answer. golang.org/x/net, which the module required already, says what a token is.

The test now also sends each answer in the place of another node's, so that both hops are covered; the stand-in chooses its answer by the number of the request, as a test that changed it between requests raced with it.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"dogwoodford/core/connection/dogoutcome"
 )
 
@@ -224,6 +226,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkNames(resp.Header); err != nil {
+			return nil, err
+		}
 		if final {
 			return resp, nil
 		}
@@ -242,6 +247,17 @@
 	return status >= http.StatusOK, nil
 }
 
+// checkNames returns an error if the name of a field is not valid. Package net/http lets
+// blanks pass, so that a field that ends or encodes the body may go unnoticed.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("field name %q: %w", name, errMalformed)
+		}
+	}
+	return nil
+}
+
 // release returns the connection to the pool, once. reusable tells whether the
 // connection can carry another call.
 func (x *exchange) release(reusable bool) {
--- a/io/request/dogrelay/broken_test.go
+++ b/io/request/dogrelay/broken_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"dogwoodford"
 	"dogwoodford/internal/dogscript"
 	"dogwoodford/io/connection/dogpipeline"
 )
@@ -35,7 +36,7 @@
 }
 
 // sendToBroken returns what callers get of the answer that w describes, which must depend
-// neither on its place on the connection nor on what comes behind it.
+// neither on the hop, nor on its place on the connection, nor on what comes behind it.
 func sendToBroken(t *testing.T, w []string) string {
 	t.Helper()
 	for i := range w {
@@ -45,36 +46,55 @@
 		}
 		w[i] = text
 	}
-	answer := fmt.Sprintf("%s Status\r\nX-Attempt: a1\r\nX-Seal: s\r\n%s\r\n%s", w[0], w[1], w[2])
 	var got []string
-	for _, later := range []bool{false, true} {
-		for _, closes := range []bool{false, true} {
-			got = append(got, sendTo(t, "non-idempotent", answer, later, closes)+"; "+sendTo(t, "idempotent", answer, later, closes))
+	for _, b := range []broken{{}, {later: true}, {closes: true}, {later: true, closes: true}, {fromNode: true}, {fromNode: true, later: true, closes: true}} {
+		b.answer = rawAnswer(w[0], w[1], w[2])
+		if b.closes {
+			b.answer.end = func(*net.TCPConn) {}
 		}
+		got = append(got, b.send(t, "non-idempotent")+"; "+b.send(t, "idempotent"))
 	}
 	return strings.Join(slices.Compact(got), " | ")
 }
 
-// sendTo sends a request through two nodes to a target that gives answer, on a new
-// connection or on one that has carried a whole answer, and then closes it or does not.
-// Another target answers "other".
-func sendTo(t *testing.T, kind, answer string, later, closes bool) string {
+// rawAnswer returns an answer with the fields that entries and guards need.
+func rawAnswer(start, fields, body string) rawResponse {
+	h := make(http.Header)
+	formatAnswer(h, &result{outcome: dogwoodford.OutcomeRan}, 1)
+	return rawResponse{bytes: fmt.Sprintf("%s Status\r\nX-Attempt: a1\r\nX-Seal: s\r\n%s: %s\r\n%s\r\n%s",
+		start, headerAnswer, h.Get(headerAnswer), fields, body)}
+}
+
+// broken is an answer and how it reaches a caller.
+type broken struct {
+	answer   rawResponse
+	fromNode bool // It takes the place of the answer of another node.
+	later    bool // Its connection has carried a whole answer.
+	closes   bool // Its connection ends behind it.
+}
+
+// send sends a request of a kind through two nodes to a target that answers b, where another
+// target answers "other", and returns what the caller gets.
+func (b broken) send(t *testing.T, kind string) string {
 	t.Helper()
 	const timeout = 10 * time.Second // No line of the data waits for it.
 	entry := newTestNode(t, "entry", "billing", "refuse", timeout)
-	guard, other := newTestNode(t, "guard", "rounds", "ok", timeout), newTestNode(t, "other", "rounds", "ok", timeout)
-	other.target.raw = strings.Replace(wholeResponse("a1"), "4\r\n\r\nbody", "5\r\n\r\nother", 1)
+	guard, other := newTestNode(t, "guard", "rounds", "", timeout), newTestNode(t, "other", "rounds", "", timeout)
+	guard.target.raw = []rawResponse{b.answer}
+	if b.later {
+		guard.target.raw = []rawResponse{rawAnswer("HTTP/1.1 200", "Content-Length: 4\r\n", "body"), b.answer}
+	}
+	other.target.raw = []rawResponse{rawAnswer("HTTP/1.1 200", "Content-Length: 5\r\n", "other")}
 	entry.addGuards(guard, other)
 	entry.targets[0].Peer = listen(t, guard.relay.Guard())
-	if later {
+	if b.fromNode {
+		entry.targets[0].Peer = guard.target.addr
+	}
+	if b.later {
 		if status, body, err := get(t, entry, kind); err != nil || status != http.StatusOK || string(body) != "body" {
 			t.Fatalf("earlier answer: status %d, body %q, error %v", status, body, err)
 		}
 	}
-	guard.target.raw = answer
-	if closes {
-		guard.target.end = func(*net.TCPConn) {}
-	}
 	status, body, err := get(t, entry, kind)
 	if err != nil {
 		return "broken off"
@@ -117,11 +137,12 @@
 			guard := newTestNode(t, "guard", "rounds", "ok", 10*time.Second)
 			entry.addGuards(guard)
 			entry.targets[0].Peer = listen(t, guard.relay.Guard())
-			guard.target.raw = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n\r\n" + string(tc.answer)
-			guard.target.end, guard.target.early = reset, true
+			answer := rawAnswer("HTTP/1.1 200", "", string(tc.answer))
+			answer.end = reset
 			if tc.whole {
-				guard.target.end = inOrder
+				answer.end = inOrder
 			}
+			guard.target.raw, guard.target.early = []rawResponse{answer}, true
 			for range rounds {
 				status, body, err := send(t, entry, "upload", tc.request)
 				answered <- struct{}{}
--- a/io/request/dogrelay/fake_test.go
+++ b/io/request/dogrelay/fake_test.go
@@ -47,10 +47,9 @@
 	addr   string
 	ln     net.Listener
 	script string
-	raw    string             // If set, the bytes of each response, in place of the script.
-	end    func(*net.TCPConn) // If set, ends each connection behind raw.
-	early  bool               // Responses are sent before the body of the request is read.
-	hold   chan struct{}      // If set, endless sealed bodies begin when it is closed.
+	raw    []rawResponse // If set, the responses in place of the script; the last one is repeated.
+	early  bool          // Responses are sent before the body of the request is read.
+	hold   chan struct{} // If set, endless sealed bodies begin when it is closed.
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -58,6 +57,12 @@
 	begun    int // Requests whose head was read.
 }
 
+// rawResponse is the bytes of a response.
+type rawResponse struct {
+	bytes string
+	end   func(*net.TCPConn) // If set, the connection is closed after it has returned.
+}
+
 func newFakeTarget(t testing.TB, script string) *fakeTarget {
 	if script == "refuse" {
 		return &fakeTarget{addr: refusingAddress(t), script: script}
@@ -150,12 +155,15 @@
 	if strings.HasPrefix(f.script, "large") {
 		return f.answerLarge(c, id)
 	}
-	if f.raw != "" {
-		_, err := io.WriteString(c, f.raw)
-		if f.end != nil {
-			f.end(c.(*net.TCPConn))
+	if len(f.raw) > 0 {
+		f.mu.Lock()
+		r := f.raw[min(f.begun, len(f.raw))-1]
+		f.mu.Unlock()
+		_, err := io.WriteString(c, r.bytes)
+		if r.end != nil {
+			r.end(c.(*net.TCPConn))
 		}
-		return err == nil && f.end == nil
+		return err == nil && r.end == nil
 	}
 	if status, ok := strings.CutPrefix(f.script, "ran-"); ok {
 		head(status+" Status", id, seal+whole)
