dogconn: an answer with a blank before the name of a field is malformed

Seen by callers: "Transfer-Encoding: chunked" behind a blank gave the caller 200 with the bytes of the chunks in its body, "Content-Length: 4" a body that ended with the connection.

Cause: net/http takes a line that begins with a blank for the rest of the line before, as older HTTP allowed, and reports nothing of it.

From another node it gave 502 bad-answer to requests that run once, as the answer is checked further.

Change: the reader that bounds a head looks at the first byte of each line. It follows the head from read to read, and from an informational answer to the next one. Current HTTP lets a proxy refuse such an answer. What concerns heads moved from direct.go to head.go.

Measured: TestBrokenAnswers and TestFoldedLines (each head split at each byte) pass with the race detector; dogconn, dogrelay and doghttp pass.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -9,8 +9,6 @@
 	"net/http/httptrace"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
 	"dogwoodford/core/connection/dogoutcome"
 )
 
@@ -24,47 +22,10 @@
 // because the server would read a later call as the rest of the body.
 const bodyWriteGrace = 50 * time.Millisecond
 
-// maxHeadBytes bounds the status line and headers of a response, together with those
-// of the informational responses before it.
-const maxHeadBytes = 64 << 10
-
-// errHeadTooLong means that a response has more than maxHeadBytes before its body.
-var errHeadTooLong = errors.New("response head too long")
-
-// errMalformed means that a response is not valid HTTP/1.1.
-var errMalformed = errors.New("malformed response")
-
 // errCutShort means that the connection with whose end a response ends was not closed in
 // order, so that the rest of the response may be missing.
 var errCutShort = errors.New("response cut short")
 
-// headReader bounds the bytes that are read while the head of a response is read. A
-// faulty server may never end it.
-type headReader struct {
-	r       io.Reader
-	inHead  bool
-	allowed int // Bytes that may still be read in the head.
-}
-
-// start begins the head of a response.
-func (h *headReader) start() { h.inHead, h.allowed = true, maxHeadBytes }
-
-// end ends the head; what follows is not bounded.
-func (h *headReader) end() { h.inHead = false }
-
-// Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.r.Read(p)
-	}
-	if h.allowed == 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.r.Read(p[:min(len(p), h.allowed)])
-	h.allowed -= n
-	return n, err
-}
-
 // pastDeadline is a deadline in the past. Setting it aborts reads and writes in
 // progress.
 var pastDeadline = time.Unix(1, 0)
@@ -232,30 +193,14 @@
 		if final {
 			return resp, nil
 		}
-	}
-}
-
-// maxStatus is the highest status code of HTTP.
-const maxStatus = 599
-
-// isFinal reports whether a response with this status code is the last one to a call. It
-// returns an error if no server that speaks HTTP sends it: calls ask for no upgrade.
-func isFinal(status int) (bool, error) {
-	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return false, fmt.Errorf("status %03d: %w", status, errMalformed)
-	}
-	return status >= http.StatusOK, nil
-}
-
-// checkNames returns an error if the name of a field is not valid. Package net/http lets
-// blanks pass, so that a field that ends or encodes the body may go unnoticed.
-func checkNames(h http.Header) error {
-	for name := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("field name %q: %w", name, errMalformed)
+		buffered, err := x.pconn.r.Peek(x.pconn.r.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if err := x.pconn.head.next(buffered); err != nil {
+			return nil, err
 		}
 	}
-	return nil
 }
 
 // release returns the connection to the pool, once. reusable tells whether the
--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -263,3 +263,24 @@
 	info.Rto = 1000 * millis
 	return fmt.Sprintf("silent=%v", isSilent(info, time.Second))
 }
+
+// TestFoldedLines guards against a line that begins with a blank and is taken for the rest of
+// the one before, wherever the head is split on the way, and against a body that is taken for
+// a part of the head.
+func TestFoldedLines(t *testing.T) {
+	for text, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\nA: 1\r\n X: 2\r\n\r\n":      errMalformed,
+		"HTTP/1.1 200 OK\nA: 1\n\tX: 2\n\n":             errMalformed,
+		" HTTP/1.1 200 OK\r\n\r\n":                      errMalformed,
+		"HTTP/1.1 200 OK\r\nA:  1 \r\n\r\n body\r\n  x": nil,
+		"HTTP/1.1 200 OK\nA: 1\n\n body":                nil,
+	} {
+		for i := range text {
+			h := &headReader{r: io.MultiReader(strings.NewReader(text[:i]), strings.NewReader(text[i:]))}
+			h.start()
+			if _, err := io.ReadAll(h); !errors.Is(err, want) {
+				t.Errorf("%q, split at %d: error %v, want %v", text, i, err, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/connection/dogconn/head.go
@@ -0,0 +1,107 @@
+package dogconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxHeadBytes bounds the status line and headers of a response, together with those
+// of the informational responses before it.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong means that a response has more than maxHeadBytes before its body.
+var errHeadTooLong = errors.New("response head too long")
+
+// errMalformed means that a response is not valid HTTP/1.1.
+var errMalformed = errors.New("malformed response")
+
+// headReader bounds the bytes that are read while the head of a response is read, as a
+// faulty server may never end it, and rejects lines that begin with a blank. Package
+// net/http takes these for the rest of the line before, so that a field that ends or
+// encodes the body may go unnoticed.
+type headReader struct {
+	r       io.Reader
+	inHead  bool
+	allowed int // Bytes that may still be read in the head.
+
+	lineBytes int  // Bytes of the current line so far, line ends excluded.
+	ended     bool // The empty line at the end of the head was read.
+}
+
+// start begins the head of a response.
+func (h *headReader) start() {
+	h.inHead, h.allowed = true, maxHeadBytes
+	h.lineBytes, h.ended = 0, false
+}
+
+// next begins the head that follows that of an informational response, of which buffered
+// has been read already.
+func (h *headReader) next(buffered []byte) error {
+	h.lineBytes, h.ended = 0, false
+	return h.checkLines(buffered)
+}
+
+// end ends the head; what follows is not bounded.
+func (h *headReader) end() { h.inHead = false }
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.allowed == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.allowed)])
+	h.allowed -= n
+	if err := h.checkLines(p[:n]); err != nil {
+		return 0, err // A reader with a buffer would use the bytes before it returns the error.
+	}
+	return n, err
+}
+
+// checkLines returns an error if a line of the head begins with a blank. p is the part of
+// the response that follows those of earlier calls.
+func (h *headReader) checkLines(p []byte) error {
+	for !h.ended && len(p) > 0 {
+		if h.lineBytes == 0 && (p[0] == ' ' || p[0] == '\t') {
+			return fmt.Errorf("blank before the name of a field: %w", errMalformed)
+		}
+		line, rest, whole := bytes.Cut(p, []byte("\n"))
+		h.lineBytes += len(line) - bytes.Count(line, []byte("\r"))
+		if whole {
+			h.ended = h.lineBytes == 0
+			h.lineBytes = 0
+		}
+		p = rest
+	}
+	return nil
+}
+
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// isFinal reports whether a response with this status code is the last one to a call. It
+// returns an error if no server that speaks HTTP sends it: calls ask for no upgrade.
+func isFinal(status int) (bool, error) {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return false, fmt.Errorf("status %03d: %w", status, errMalformed)
+	}
+	return status >= http.StatusOK, nil
+}
+
+// checkNames returns an error if the name of a field is not valid. Package net/http lets
+// blanks pass, so that a field that ends or encodes the body may go unnoticed.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("field name %q: %w", name, errMalformed)
+		}
+	}
+	return nil
+}
