dogconn: an answer of another version of HTTP is malformed

Seen by callers: an answer that begins with HTTP/2.0 or HTTP/0.9 reached them as the target's.

Cause: net/http takes any two digits for a version, and the reader of answers did not look at it.

Evidence: TestBrokenAnswers on the code before, both versions, both hops: "200 body".

Change: the major version must be 1. The checks of a head that net/http lets pass are one function now.

Measured: TestBrokenAnswers and dogconn pass with the race detector.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -183,14 +183,10 @@
 		if err != nil {
 			return nil, err
 		}
-		final, err := isFinal(resp.StatusCode)
-		if err != nil {
-			return nil, err
-		}
-		if err := checkNames(resp.Header); err != nil {
+		if err := checkHead(resp); err != nil {
 			return nil, err
 		}
-		if final {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 		buffered, err := x.pconn.r.Peek(x.pconn.r.Buffered())
--- a/io/connection/dogconn/head.go
+++ b/io/connection/dogconn/head.go
@@ -86,13 +86,16 @@
 // maxStatus is the highest status code of HTTP.
 const maxStatus = 599
 
-// isFinal reports whether a response with this status code is the last one to a call. It
-// returns an error if no server that speaks HTTP sends it: calls ask for no upgrade.
-func isFinal(status int) (bool, error) {
-	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return false, fmt.Errorf("status %03d: %w", status, errMalformed)
+// checkHead returns an error if resp is not valid HTTP/1, as far as package net/http lets it
+// pass. Calls ask for no upgrade.
+func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("version %s: %w", resp.Proto, errMalformed)
 	}
-	return status >= http.StatusOK, nil
+	if s := resp.StatusCode; s < http.StatusContinue || s > maxStatus || s == http.StatusSwitchingProtocols {
+		return fmt.Errorf("status %03d: %w", s, errMalformed)
+	}
+	return checkNames(resp.Header)
 }
 
 // checkNames returns an error if the name of a field is not valid. Package net/http lets
