dogconn: an answer with a blank in the name of a trailer is malformed

Seen by callers: nothing at the nodes of the platform, which drop trailers; the other kind of node passes them on, such a line too.

Cause: net/http reads trailers as it reads heads, and the reader of answers checked none.

Evidence: TestBrokenAnswers on the code before: "X Y: 7" behind the last chunk gave "200 body" in both hops, a control byte in its place 502.

Change: at the end of a body the names of its trailers are checked; the answer counts as broken like one whose last chunk is missing.

Measured: dogconn, dogrelay and doghttp pass with the race detector.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -97,7 +97,7 @@
 	// A response of unknown length ends when its connection is closed.
 	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	x.keepAlive = x.keepAlive && !endsWithConn
-	resp.Body = &responseBody{body: resp.Body, x: x, endsWithConn: endsWithConn}
+	resp.Body = &responseBody{body: resp.Body, x: x, resp: resp, endsWithConn: endsWithConn}
 	return resp, nil
 }
 
@@ -231,6 +231,7 @@
 type responseBody struct {
 	body         io.ReadCloser
 	x            *exchange
+	resp         *http.Response
 	endsWithConn bool // Its end is that of the connection.
 }
 
@@ -240,10 +241,8 @@
 		return 0, io.EOF
 	}
 	n, err := b.body.Read(p)
-	if err == io.EOF && b.endsWithConn {
-		if writeErr := b.x.pconn.conn.endWrites(); writeErr != nil {
-			err = fmt.Errorf("%w: %w", errCutShort, writeErr)
-		}
+	if err == io.EOF {
+		err = b.checkEnd()
 	}
 	if err != nil {
 		b.x.release(err == io.EOF && b.x.keepAlive)
@@ -251,6 +250,21 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF, or an error if the end of the body is not that of a whole
+// response.
+func (b *responseBody) checkEnd() error {
+	if err := checkNames(b.resp.Trailer); err != nil {
+		return fmt.Errorf("trailer: %w", err)
+	}
+	if !b.endsWithConn {
+		return io.EOF
+	}
+	if err := b.x.pconn.conn.endWrites(); err != nil {
+		return fmt.Errorf("%w: %w", errCutShort, err)
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. A connection whose response was not read to its
 // end is closed.
 func (b *responseBody) Close() error {
