dogconn: a body that broke off stays broken

Seen by callers: nothing; found by reading the places that read answers.

Cause: behind an error, or behind its close, a body returned io.EOF. Whoever reads on takes what there was for a whole answer.

Evidence: TestBrokenBodyStaysBroken, new: on the code before, the second read of a body that was cut, and each read of one that was closed unread, looked like the end of a whole body. No reader of ours reads on today.

Change: a body keeps how it ended. That makes the flag that guarded its connection against a second return needless.

Measured: dogconn, dogrelay, doghttp and dogsidecar pass with the race detector.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -79,7 +79,6 @@
 	watcher      *watcher   // Nil if none is needed.
 	writeDone    chan error // Receives the result of a write that runs concurrently with the read; nil if none does.
 	keepAlive    bool       // The server keeps the connection open.
-	released     bool
 }
 
 // run writes the call and reads the headers of the response.
@@ -199,13 +198,9 @@
 	}
 }
 
-// release returns the connection to the pool, once. reusable tells whether the
-// connection can carry another call.
+// release returns the connection to the pool. It must be called once. reusable tells
+// whether the connection can carry another call.
 func (x *exchange) release(reusable bool) {
-	if x.released {
-		return
-	}
-	x.released = true
 	unchanged := x.watcher.stop()
 	reusable = x.stopDeadline() && reusable && unchanged && x.waitWritten()
 	x.pool.put(x.pconn, reusable && x.pconn.r.Buffered() == 0)
@@ -232,24 +227,33 @@
 	body         io.ReadCloser
 	x            *exchange
 	resp         *http.Response
-	endsWithConn bool // Its end is that of the connection.
+	endsWithConn bool  // Its end is that of the connection.
+	err          error // How it ended; nil if it has not.
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	if b.x.released {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.body.Read(p)
 	if err == io.EOF {
 		err = b.checkEnd()
 	}
 	if err != nil {
-		b.x.release(err == io.EOF && b.x.keepAlive)
+		b.end(err)
 	}
 	return n, err
 }
 
+// end ends the body with err, io.EOF if it is whole. Only the first call has an effect.
+func (b *responseBody) end(err error) {
+	if b.err == nil {
+		b.err = err
+		b.x.release(err == io.EOF && b.x.keepAlive)
+	}
+}
+
 // checkEnd returns io.EOF, or an error if the end of the body is not that of a whole
 // response.
 func (b *responseBody) checkEnd() error {
@@ -268,6 +272,6 @@
 // Close implements io.Closer. A connection whose response was not read to its
 // end is closed.
 func (b *responseBody) Close() error {
-	b.x.release(false)
+	b.end(http.ErrBodyReadAfterClose)
 	return nil
 }
--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -284,3 +284,29 @@
 		}
 	}
 }
+
+// TestBrokenBodyStaysBroken guards against a body that breaks off and looks complete to who
+// reads on behind the error, or behind the close.
+func TestBrokenBodyStaysBroken(t *testing.T) {
+	addr, _ := rawServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+		}
+	})
+	tr := NewTarget(Options{MaxConns: 1})
+	defer tr.Close()
+	for _, closed := range []bool{false, true} {
+		resp, _, err := tr.Do(request(t, "GET", "http://"+addr+"/", nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if closed {
+			_ = resp.Body.Close()
+		}
+		for range 2 {
+			if data, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("closed %v: %q is taken as a whole body", closed, data)
+			}
+		}
+	}
+}
