dogpipeline: an HTTP/1.0 client sees that its answer broke off

Seen by callers: a client that speaks HTTP/1.0 got the first part of a long answer of unknown length as a complete one.

Cause: such an answer ends with its connection. A node that breaks it off, because the target or another node broke off, closes the connection, which is how a whole answer ends too. HTTP/1.1 clients miss the last chunk.

Change: from the head of such an answer to its end the connection is set to be reset when it is closed, so that this holds as well where a limit, a stop or the end of the process closes it.

--- a/io/connection/dogpipeline/conn.go
+++ b/io/connection/dogpipeline/conn.go
@@ -339,6 +339,18 @@
 	_ = c.rwc.Close() // The reader and the other responses fail from now on.
 }
 
+// resetOnClose sets whether the close of the connection, which the end of the process is too,
+// resets it. Otherwise it looks to the client like the end of a whole response.
+func (c *conn) resetOnClose(reset bool) {
+	sec := -1 // The kernel's default: in order.
+	if reset {
+		sec = 0
+	}
+	if l, ok := c.rwc.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(sec) // Fails only on a closed connection.
+	}
+}
+
 // closeIfIdle closes the connection if it carries no request, and reports whether it did.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
--- a/io/connection/dogpipeline/dogpipeline_test.go
+++ b/io/connection/dogpipeline/dogpipeline_test.go
@@ -216,3 +216,33 @@
 	slices.Sort(out)
 	return out
 }
+
+// TestBrokenOffWithConnection guards against a response that ends with its connection, as
+// HTTP/1.0 knows no other end for one of unknown length, and looks complete to its client
+// although its handler broke it off.
+func TestBrokenOffWithConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 2*bufferBytes))
+		if r.URL.Path == "/cut" {
+			panic(http.ErrAbortHandler)
+		}
+	})}
+	defer srv.Close()
+	go func() { _ = srv.Serve(ln) }()
+	for path, whole := range map[string]bool{"/whole": true, "/cut": false} {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET %s HTTP/1.0\r\nHost: h\r\n\r\n", path)
+		data, err := io.ReadAll(c)
+		if whole != (err == nil) {
+			t.Errorf("%s: %d bytes, error %v; want an error: %v", path, len(data), err, !whole)
+		}
+	}
+}
--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -165,6 +165,7 @@
 	case !r.req.ProtoAtLeast(1, 1):
 		// The body ends with the connection, as HTTP/1.0 knows no chunks.
 		r.length = -1
+		r.c.resetOnClose(true)
 	default:
 		h["Transfer-Encoding"] = []string{"chunked"}
 		r.chunks = httputil.NewChunkedWriter(r.c.out)
@@ -228,6 +229,9 @@
 	if err := r.c.out.Flush(); err != nil {
 		return fmt.Errorf("flush response: %w", err)
 	}
+	if r.length < 0 {
+		r.c.resetOnClose(false)
+	}
 	if r.body != nil && !r.last {
 		return r.body.discard()
 	}
