doghttp: an HTTP/1.0 caller sees that its answer broke off

Seen by callers: a caller that speaks HTTP/1.0 got the part of a chunked answer that came before the target broke off as a complete one.

Cause: as in dogpipeline; here the server is that of net/http, which closes the connection in order when a handler gives up.

Change: a handler that breaks an answer off takes the connection of an HTTP/1.0 request over and resets it. What breaks an answer off is one function now, also for a panic behind the headers.

--- a/io/request/doghttp/answer.go
+++ b/io/request/doghttp/answer.go
@@ -143,8 +143,7 @@
 		e = truncated
 		h.cfg.Events.Event(x.ctx, EventTruncated, "", err)
 	}
-	x.abort = true
-	panic(http.ErrAbortHandler)
+	x.breakOff()
 }
 
 func (h *Handlers) sendHeaders(x *exchange, a *answer) {
--- a/io/request/doghttp/faults_test.go
+++ b/io/request/doghttp/faults_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -106,3 +107,25 @@
 	}
 	return fmt.Sprintf("%d %s %s %s", resp.StatusCode, resp.Header.Get(dogcall.HeaderOutcome), dash(reason), dash(text))
 }
+
+// Guards against an answer that breaks off and looks complete to a caller that speaks
+// HTTP/1.0, where only the end of the connection marks its end.
+func TestTruncatedAnswerOfHTTP10(t *testing.T) {
+	target := newScriptedTarget(t)
+	target.script = []string{"chunk-cut"}
+	m := newMesh(t, target.addr)
+	c, err := net.Dial("tcp", strings.TrimPrefix(m.entry, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	req := newRequest(t, "GET", m.entry+"/rounds/sheets/1", nil)
+	fmt.Fprintf(c, "GET %s HTTP/1.0\r\n", req.URL.Path)
+	if err := req.Header.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "\r\n")
+	if data, err := io.ReadAll(c); err == nil {
+		t.Errorf("%q is taken as a whole answer", data)
+	}
+}
--- a/io/request/doghttp/handlers.go
+++ b/io/request/doghttp/handlers.go
@@ -190,6 +190,29 @@
 
 func (x *exchange) track(a *answer) { x.answers = append(x.answers, a) }
 
+// breakOff ends the request and its connection or stream, so that the answer, whose headers
+// were sent, does not look complete. It does not return.
+func (x *exchange) breakOff() {
+	x.abort = true
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection. An answer without a length to an HTTP/1.0 request ends with
+// its connection, so that a close in order would look like its end.
+func (x *exchange) reset() {
+	c, _, err := x.rc.Hijack()
+	if err != nil {
+		return // The connection is closed.
+	}
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // Fails only on a closed connection.
+	}
+	_ = c.Close()
+}
+
 func (h *Handlers) handler(role func(*http.Request) Role, serve func(*exchange) *answer) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, rc: http.NewResponseController(w), role: role(r), start: time.Now()}
@@ -224,7 +247,7 @@
 	}
 	h.cfg.Events.Event(x.ctx, EventPanic, "", fmt.Errorf("panic: %v", v))
 	if x.headersSent {
-		panic(http.ErrAbortHandler)
+		x.breakOff()
 	}
 	// It is not known here how far the request progressed.
 	h.relay(x, refusal(dogwoodford.OutcomeUnknown, dogwoodford.ReasonInternal, 0))
