dogconn: an HTTP/1.0 answer in chunks is malformed

Seen by callers: an answer that begins with HTTP/1.0 and declares chunks gave them 200 with the bytes of the chunks in its body.

Cause: HTTP/1.0 knows no chunks; net/http drops the field for it, so that the body ends with the connection or has the length that another field gives.

Evidence: TestBrokenAnswers on the code before, both hops: "200 4 body 0", and at the deadline 502 where the connection stayed open.

Change: the reader of heads looks at whole lines, and rejects that field in such a head, as current HTTP asks. TestFoldedLines became TestRejectedLines, which has its lines and this one.

--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -264,16 +264,17 @@
 	return fmt.Sprintf("silent=%v", isSilent(info, time.Second))
 }
 
-// TestFoldedLines guards against a line that begins with a blank and is taken for the rest of
-// the one before, wherever the head is split on the way, and against a body that is taken for
-// a part of the head.
-func TestFoldedLines(t *testing.T) {
+// TestRejectedLines guards against a line of a head that net/http would pass over, wherever
+// the head is split on the way, and against a body that is taken for a part of the head.
+func TestRejectedLines(t *testing.T) {
 	for text, want := range map[string]error{
-		"HTTP/1.1 200 OK\r\nA: 1\r\n X: 2\r\n\r\n":      errMalformed,
-		"HTTP/1.1 200 OK\nA: 1\n\tX: 2\n\n":             errMalformed,
-		" HTTP/1.1 200 OK\r\n\r\n":                      errMalformed,
-		"HTTP/1.1 200 OK\r\nA:  1 \r\n\r\n body\r\n  x": nil,
-		"HTTP/1.1 200 OK\nA: 1\n\n body":                nil,
+		"HTTP/1.1 200 OK\r\nA: 1\r\n X: 2\r\n\r\n":        errMalformed,
+		"HTTP/1.1 200 OK\nA: 1\n\tX: 2\n\n":               errMalformed,
+		" HTTP/1.1 200 OK\r\n\r\n":                        errMalformed,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: x\r\n\r\n": errMalformed,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\n": nil,
+		"HTTP/1.1 200 OK\r\nA:  1 \r\n\r\n body\r\n  x":   nil,
+		"HTTP/1.1 200 OK\nA: 1\n\n body":                  nil,
 	} {
 		for i := range text {
 			h := &headReader{r: io.MultiReader(strings.NewReader(text[:i]), strings.NewReader(text[i:]))}
--- a/io/connection/dogconn/head.go
+++ b/io/connection/dogconn/head.go
@@ -21,31 +21,34 @@
 var errMalformed = errors.New("malformed response")
 
 // headReader bounds the bytes that are read while the head of a response is read, as a
-// faulty server may never end it, and rejects lines that begin with a blank. Package
-// net/http takes these for the rest of the line before, so that a field that ends or
-// encodes the body may go unnoticed.
+// faulty server may never end it, and rejects lines that package net/http lets pass without
+// a trace, so that a field that ends or encodes the body may go unnoticed.
 type headReader struct {
 	r       io.Reader
 	inHead  bool
 	allowed int // Bytes that may still be read in the head.
 
-	lineBytes int  // Bytes of the current line so far, line ends excluded.
-	ended     bool // The empty line at the end of the head was read.
+	lines int    // Lines of the head before the current one.
+	line  []byte // The current line so far.
+	old   bool   // The head is one of HTTP/1.0.
+	ended bool   // The empty line at the end of the head was read.
 }
 
 // start begins the head of a response.
 func (h *headReader) start() {
 	h.inHead, h.allowed = true, maxHeadBytes
-	h.lineBytes, h.ended = 0, false
+	h.startLines()
 }
 
 // next begins the head that follows that of an informational response, of which buffered
 // has been read already.
 func (h *headReader) next(buffered []byte) error {
-	h.lineBytes, h.ended = 0, false
+	h.startLines()
 	return h.checkLines(buffered)
 }
 
+func (h *headReader) startLines() { h.lines, h.line, h.ended = 0, h.line[:0], false }
+
 // end ends the head; what follows is not bounded.
 func (h *headReader) end() { h.inHead = false }
 
@@ -65,24 +68,46 @@
 	return n, err
 }
 
-// checkLines returns an error if a line of the head begins with a blank. p is the part of
-// the response that follows those of earlier calls.
+// checkLines returns an error if the head has a line that is rejected. p is the part of the
+// response that follows those of earlier calls.
 func (h *headReader) checkLines(p []byte) error {
 	for !h.ended && len(p) > 0 {
-		if h.lineBytes == 0 && (p[0] == ' ' || p[0] == '\t') {
-			return fmt.Errorf("blank before the name of a field: %w", errMalformed)
-		}
-		line, rest, whole := bytes.Cut(p, []byte("\n"))
-		h.lineBytes += len(line) - bytes.Count(line, []byte("\r"))
+		part, rest, whole := bytes.Cut(p, []byte("\n"))
+		h.line = append(h.line, part...)
 		if whole {
-			h.ended = h.lineBytes == 0
-			h.lineBytes = 0
+			if err := h.checkLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
+				return err
+			}
+			h.lines++
+			h.line = h.line[:0]
 		}
 		p = rest
 	}
 	return nil
 }
 
+// checkLine returns an error if a line of the head begins with a blank, which package
+// net/http takes for the rest of the line before, or declares an encoding that HTTP/1.0 does
+// not know, which it drops.
+func (h *headReader) checkLine(line []byte) error {
+	if len(line) == 0 {
+		h.ended = true
+		return nil
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return fmt.Errorf("blank before the name of a field: %w", errMalformed)
+	}
+	if h.lines == 0 {
+		h.old = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+		return nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if h.old && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return fmt.Errorf("transfer encoding in HTTP/1.0: %w", errMalformed)
+	}
+	return nil
+}
+
 // maxStatus is the highest status code of HTTP.
 const maxStatus = 599
 
