dogpipeline: a reset doesn't overtake the answer to a long upload

Seen by callers: a caller of net/http that was still sending a long upload when its answer was ready got "connection reset" or "broken pipe" in place of the answer, in about one of 500 tries beside other load. Found while a failure of a test of broken answers was traced.

Cause: when the last answer of a connection is written, the server ends the read in progress by a deadline. If that was a read of the body, which the transport to the target may still be at, it counted as the departure of the client, and a connection whose client has left is closed at once: with unread bytes, that is a reset.

Evidence: a trace of TestUnframedAnswers with a net/http client showed "body fail: i/o timeout" and the close within the same millisecond.

Change: a read that met that deadline does not count as a departure, so that the server reads on for its linger time as for all other last answers.

--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,7 +115,8 @@
 	b.whole.Store(err == io.EOF)
 	b.failed.Store(err != io.EOF)
 	close(b.ended)
-	if err != io.EOF {
+	// The server itself ends a read behind the last response, whose client has not left.
+	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
 		b.resp.c.cancel()
 	}
 }
--- a/io/connection/dogpipeline/departure_test.go
+++ b/io/connection/dogpipeline/departure_test.go
@@ -1,12 +1,14 @@
 package dogpipeline
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -113,3 +115,42 @@
 		_, err = c.Write(piece)
 	}
 }
+
+// halfCloser is a pipe whose directions can be closed one by one.
+type halfCloser struct{ net.Conn }
+
+func (halfCloser) CloseWrite() error { return nil }
+
+// TestAnswerBeforeBody guards against a reset that overtakes the answer to a request whose
+// body is still being read when its handler returns.
+func TestAnswerBeforeBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			go func() { _, _ = io.Copy(io.Discard, r.Body) }()
+			time.Sleep(time.Millisecond) // The body is being read.
+			w.Header().Set("Content-Length", "2")
+			_, _ = io.WriteString(w, "ok")
+		})}
+		l := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+		go func() { _ = srv.Serve(l) }()
+		defer srv.Close()
+		client, server := net.Pipe()
+		defer client.Close()
+		l.conns <- halfCloser{server}
+		if _, err := io.WriteString(client, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\npart"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, error %v", resp, err)
+		}
+		start := time.Now()
+		for err == nil {
+			time.Sleep(lingerTime / 10)
+			_, err = io.WriteString(client, "more")
+		}
+		if d := time.Since(start); d < lingerTime {
+			t.Errorf("the connection is closed %v after the answer, want %v", d, lingerTime)
+		}
+	})
+}
