--- a/io/request/dogrelay/broken_test.go
+++ b/io/request/dogrelay/broken_test.go
@@ -114,17 +114,19 @@
 		_ = c.SetLinger(0)
 	}
 	for _, tc := range []struct {
-		name    string
-		request []byte
-		answer  []byte
-		whole   bool
+		name     string
+		request  []byte
+		answer   []byte
+		fromNode bool // It takes the place of the answer of another node.
+		whole    bool
 	}{
-		{"reset", nil, []byte("part"), false},
-		{"reset of an upload", upload, []byte("part"), false},
-		{"reset of an upload, long answer", upload, largeBody, false},
-		{"in order", nil, []byte("body"), true},
-		{"in order beside an upload", upload, []byte("body"), true},
-		{"in order beside an upload, long answer", upload, largeBody, true},
+		{name: "reset", answer: []byte("part")},
+		{name: "reset of an upload", request: upload, answer: []byte("part")},
+		{name: "reset of an upload, long answer", request: upload, answer: largeBody},
+		{name: "reset of an upload by a node", request: upload, answer: []byte("part"), fromNode: true},
+		{name: "in order", answer: []byte("body"), whole: true},
+		{name: "in order beside an upload", request: upload, answer: []byte("body"), whole: true},
+		{name: "in order beside an upload, long answer", request: upload, answer: largeBody, whole: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -137,6 +139,9 @@
 			guard := newTestNode(t, "guard", "rounds", "ok", 10*time.Second)
 			entry.addGuards(guard)
 			entry.targets[0].Peer = listen(t, guard.relay.Guard())
+			if tc.fromNode {
+				entry.targets[0].Peer = guard.target.addr
+			}
 			answer := rawAnswer("HTTP/1.1 200", "", string(tc.answer))
 			answer.end = reset
 			if tc.whole {
