--- a/io/connection/dogconn/doc.go
+++ b/io/connection/dogconn/doc.go
@@ -7,6 +7,10 @@
 // Idempotency-Key headers are removed. Each call returns the stage that it
 // reached, so that dogoutcome can distinguish not run from unknown.
 //
+// Over HTTP/1, a response whose head is malformed is an error, also where net/http lets it
+// pass. One that ends with its connection is whole only if the connection was closed in
+// order; otherwise the read of its body returns an error in place of io.EOF.
+//
 // # Usage
 //
 //	t := dogconn.NewTarget(dogconn.Options{MaxConns: 360})
--- a/io/connection/dogpipeline/body.go
+++ b/io/connection/dogpipeline/body.go
@@ -115,7 +115,8 @@
 	b.whole.Store(err == io.EOF)
 	b.failed.Store(err != io.EOF)
 	close(b.ended)
-	// The server itself ends a read behind the last response, whose client has not left.
+	// A deadline is the server's own, which ends a read behind the last response; the client
+	// has not left.
 	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
 		b.resp.c.cancel()
 	}
