--- a/io/request/dogrelay/broken_test.go
+++ b/io/request/dogrelay/broken_test.go
@@ -107,57 +107,62 @@
 // order while the upload was being written. The kernel reports a reset to one system call
 // only, which may be the write of the upload.
 func TestUnframedAnswers(t *testing.T) {
-	const rounds = 10              // In which the write and the read of a connection race.
 	upload := make([]byte, 64<<20) // More than the buffers on the way hold.
-	reset := func(c *net.TCPConn) {
-		time.Sleep(10 * time.Millisecond) // The nodes write and read meanwhile.
-		_ = c.SetLinger(0)
-	}
-	for _, tc := range []struct {
-		name     string
-		request  []byte
-		answer   []byte
-		fromNode bool // It takes the place of the answer of another node.
-		whole    bool
-	}{
-		{name: "reset", answer: []byte("part")},
-		{name: "reset of an upload", request: upload, answer: []byte("part")},
-		{name: "reset of an upload, long answer", request: upload, answer: largeBody},
-		{name: "reset of an upload by a node", request: upload, answer: []byte("part"), fromNode: true},
-		{name: "in order", answer: []byte("body"), whole: true},
-		{name: "in order beside an upload", request: upload, answer: []byte("body"), whole: true},
-		{name: "in order beside an upload, long answer", request: upload, answer: largeBody, whole: true},
+	for name, u := range map[string]unframed{
+		"reset":                                  {answer: []byte("part")},
+		"reset of an upload":                     {request: upload, answer: []byte("part")},
+		"reset of an upload, long answer":        {request: upload, answer: largeBody},
+		"reset of an upload by a node":           {request: upload, answer: []byte("part"), fromNode: true},
+		"in order":                               {answer: []byte("body"), whole: true},
+		"in order beside an upload":              {request: upload, answer: []byte("body"), whole: true},
+		"in order beside an upload, long answer": {request: upload, answer: largeBody, whole: true},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			answered := make(chan struct{}, rounds)
-			inOrder := func(c *net.TCPConn) {
-				_ = c.CloseWrite()
-				<-answered
-			}
-			entry := newTestNode(t, "entry", "billing", "refuse", 10*time.Second)
-			guard := newTestNode(t, "guard", "rounds", "ok", 10*time.Second)
-			entry.addGuards(guard)
-			entry.targets[0].Peer = listen(t, guard.relay.Guard())
-			if tc.fromNode {
-				entry.targets[0].Peer = guard.target.addr
-			}
-			answer := rawAnswer("HTTP/1.1 200", "", string(tc.answer))
-			answer.end = reset
-			if tc.whole {
-				answer.end = inOrder
-			}
-			guard.target.raw, guard.target.early = []rawResponse{answer}, true
-			for range rounds {
-				status, body, err := send(t, entry, "upload", tc.request)
-				answered <- struct{}{}
-				if got := err == nil && status == http.StatusOK; got != tc.whole {
-					t.Errorf("status %d, %d bytes, error %v; taken as whole: %v, want %v", status, len(body), err, got, tc.whole)
-				}
-				if tc.whole && !bytes.Equal(body, tc.answer) {
-					t.Errorf("%d bytes that are not the answer", len(body))
-				}
-			}
+			u.check(t)
 		})
 	}
 }
+
+// unframed is an answer without a length.
+type unframed struct {
+	request  []byte
+	answer   []byte
+	fromNode bool // It takes the place of the answer of another node.
+	whole    bool // Its connection ends in order behind it, and is not reset.
+}
+
+// check sends requests through two nodes to a target that answers u before it has read them,
+// and reports an error if a caller does not see whether u is whole.
+func (u unframed) check(t *testing.T) {
+	const rounds = 10 // In which the write and the read of a connection race.
+	answered := make(chan struct{}, rounds)
+	answer := rawAnswer("HTTP/1.1 200", "", string(u.answer))
+	answer.end = func(c *net.TCPConn) {
+		if u.whole {
+			_ = c.CloseWrite()
+			<-answered
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // The nodes write and read meanwhile.
+		_ = c.SetLinger(0)
+	}
+	entry := newTestNode(t, "entry", "billing", "refuse", 10*time.Second)
+	guard := newTestNode(t, "guard", "rounds", "ok", 10*time.Second)
+	guard.target.raw, guard.target.early = []rawResponse{answer}, true
+	entry.addGuards(guard)
+	entry.targets[0].Peer = listen(t, guard.relay.Guard())
+	if u.fromNode {
+		entry.targets[0].Peer = guard.target.addr
+	}
+	for range rounds {
+		status, body, err := send(t, entry, "upload", u.request)
+		answered <- struct{}{}
+		if got := err == nil && status == http.StatusOK; got != u.whole {
+			t.Errorf("status %d, %d bytes, error %v; taken as whole: %v, want %v", status, len(body), err, got, u.whole)
+		}
+		if u.whole && !bytes.Equal(body, u.answer) {
+			t.Errorf("%d bytes that are not the answer", len(body))
+		}
+	}
+}
