dogsidecar: a departure is acknowledged only once others hold it

Callers saw: a target got requests for seconds after its leave had been acknowledged. The store was silent, and the node beside the target was killed after it had answered 200; the new process took a heartbeat from before the leave for the present state.

Cause: awaitDeparture gave up after 300 ms and the departure was acknowledged all the same, though nothing but the memory of the process held it. Other nodes were told of an entry only after its write to the store, so that nobody could tell the new process.

Change: after 300 ms without the store, the departure is sent to all other nodes (POST /departure), and it is acknowledged when two of them keep a copy, or the only one there is. They return the copy to the node again and again until its entry in the store holds it, so that a new process learns of it, and the node repeats it to them. A node that knows of a departure, but has had no heartbeat since its start, writes it too; before, its entry was never written. A departure that is restored no longer replaces a later one.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -169,17 +169,29 @@
 	return w.departed
 }
 
-// Restore records a departure of which an earlier process of this node knew. Heartbeats
-// that the target sent before may still arrive.
-func (w *Tracker) Restore(d Departure) {
-	if d.ID == "" {
-		return
+// Restore records a departure of which an earlier process of this node knew, and reports
+// whether it was new. Heartbeats that the target sent before may still arrive.
+func (w *Tracker) Restore(d Departure) bool {
+	if d.ID == "" || w.knows(d) {
+		return false
+	}
+	if d.Born >= w.departed.Born {
+		w.departed = d
 	}
-	w.departed = d
 	w.leftBorn[d.ID] = max(w.leftBorn[d.ID], d.Born)
-	if c := w.current; c != nil && c.heartbeat.ID == d.ID && c.heartbeat.Born <= d.Born && c.state != dogwoodford.StateLeft {
+	if c := w.current; c != nil && c.heartbeat.ID == d.ID && c.heartbeat.Born <= d.Born {
 		c.state = dogwoodford.StateDraining
 	}
+	return true
+}
+
+// knows reports whether a departure is known already.
+func (w *Tracker) knows(d Departure) bool {
+	if have := w.Departure(); have.ID == d.ID && have.Born >= d.Born {
+		return true
+	}
+	born, ok := w.leftBorn[d.ID]
+	return ok && born >= d.Born
 }
 
 // RecordAnswer records that the target with the given id answered a request.
--- a/io/process/dogsidecar/broadcast.go
+++ b/io/process/dogsidecar/broadcast.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -22,31 +23,49 @@
 	maxMessageBytes = 64 << 10
 )
 
-// broadcast sends a message to all other nodes, once to each, and logs failed for those
-// that do not take it. They read the same in the store later.
-func (p *peers) broadcast(ctx context.Context, path string, message any, failed doglog.Event) {
-	data, err := json.Marshal(message)
-	if err != nil {
-		p.log.event(failed, doglog.Err(err))
-		return
-	}
+// parallel calls f for all i below n, at most maxConcurrentSends at a time, and returns when
+// all calls have.
+func parallel(n int, f func(i int)) {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentSends)
-	for _, v := range p.state.entries() {
-		if v.Entry.Node == p.state.settings.Node {
-			continue
-		}
+	for i := range n {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if err := p.send(ctx, v.Entry, path, data); err != nil {
-				p.log.event(failed, slog.String("peer", v.Entry.Node), doglog.Err(err))
-			}
+			f(i)
 		})
 	}
 	wg.Wait()
 }
 
+// broadcast sends a message to all other nodes, once to each and to silent ones last. It
+// calls taken, unless that is nil, for those that take it, and logs failed for the others.
+func (p *peers) broadcast(ctx context.Context, path string, message any, failed doglog.Event, taken func(node string)) {
+	data, err := json.Marshal(message)
+	if err != nil {
+		p.log.event(failed, doglog.Err(err))
+		return
+	}
+	nodes := p.state.randomPeers(p.state.NodeCount())
+	parallel(len(nodes), func(i int) {
+		switch err := p.send(ctx, nodes[i], path, data); {
+		case err != nil:
+			p.log.event(failed, slog.String("peer", nodes[i].Node), doglog.Err(err))
+		case taken != nil:
+			taken(nodes[i].Node)
+		}
+	})
+}
+
+// sendMessage is send for a message that is not encoded yet.
+func (p *peers) sendMessage(ctx context.Context, e dogfleet.Entry, path string, message any) error {
+	data, err := json.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode message for %s: %w", path, err)
+	}
+	return p.send(ctx, e, path, data)
+}
+
 // send sends a message to the node of e over a kept connection, and once more over a new
 // one if that fails, as an open connection can be dead while new ones work. A node that
 // gets a message twice takes it once.
@@ -71,7 +90,7 @@
 		select {
 		case <-ctx.Done():
 		case v := <-p.state.written:
-			p.broadcast(ctx, entryPath, v, doglog.EntryNotSent)
+			p.broadcast(ctx, entryPath, v, doglog.EntryNotSent, nil)
 		}
 	}
 	return ctx.Err()
--- a/io/process/dogsidecar/broadcast_test.go
+++ b/io/process/dogsidecar/broadcast_test.go
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- sender.sendEntries(ctx) }()
-	a.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
+	receiveHeartbeat(a, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	store := newFakeStore()
 	if err := (&announcer{state: a, store: store, log: a.log}).write(t.Context()); err != nil {
 		t.Fatal(err)
--- a/io/process/dogsidecar/caller_left_test.go
+++ b/io/process/dogsidecar/caller_left_test.go
@@ -82,7 +82,7 @@
 	settings.Outbound, settings.Ready, settings.Control = guardOutbound, guardReady, guardControl
 	n := newNode(settings, namedDialect{}, newFakeStore(), io.Discard)
 	defer n.log.close()
-	n.state.ReceiveHeartbeat(dogtarget.Heartbeat{
+	receiveHeartbeat(n.state, dogtarget.Heartbeat{
 		ID: "i-1", Service: "rounds", Address: settings.Target, Born: 1, Sequence: 1, Slots: 100,
 	})
 	if err := n.listen(); err != nil {
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -32,13 +32,13 @@
 		want [][]uint64
 	}{
 		{"refuses connections", func(s *state) { s.MarkFailed("i-1"); s.MarkFailed("i-1") }, [][]uint64{{7, 8}, {17, 18}}},
-		{"was started again", func(s *state) { s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}, {17, 18}}},
-		{"both", func(s *state) { s.MarkFailed("i-1"); s.ReceiveHeartbeat(again) }, [][]uint64{{7, 8}, {17, 18}}},
-		{"drained", func(s *state) { s.ReceiveHeartbeat(draining); s.MarkFailed("i-1"); s.ReceiveHeartbeat(again) }, nil},
-		{"left", func(s *state) { s.Leave("i-1"); s.ReceiveHeartbeat(again) }, nil},
+		{"was started again", func(s *state) { receiveHeartbeat(s, again) }, [][]uint64{{7, 8}, {17, 18}}},
+		{"both", func(s *state) { s.MarkFailed("i-1"); receiveHeartbeat(s, again) }, [][]uint64{{7, 8}, {17, 18}}},
+		{"drained", func(s *state) { receiveHeartbeat(s, draining); s.MarkFailed("i-1"); receiveHeartbeat(s, again) }, nil},
+		{"left", func(s *state) { leaveTarget(s, "i-1"); receiveHeartbeat(s, again) }, nil},
 	} {
 		s := testState(t, func() int64 { return 1 })
-		s.ReceiveHeartbeat(beat)
+		receiveHeartbeat(s, beat)
 		s.DispatchStarted("a", dogcrash.Content{Shared: 17, Own: 7})
 		s.DispatchStarted("b", dogcrash.Content{Shared: 18, Own: 8})
 		s.DispatchStarted("c", dogcrash.Content{Shared: 19, Own: 9})
@@ -139,7 +139,7 @@
 	}
 	s.put(stored, 1)
 	s.setListed()
-	s.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
+	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
 	if diff := cmp.Diff(stored.Crashes, s.entry().Crashes); diff != "" {
 		t.Errorf("reports in the entry after a restart (-want +got):\n%s", diff)
 	}
@@ -159,7 +159,7 @@
 	go func() { done <- sender.sendReports(ctx) }()
 	c := dogcrash.Content{Shared: 17, Own: 7}
 	for born := int64(1); born <= 4; born++ {
-		a.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: born, Sequence: 1, Slots: 4})
+		receiveHeartbeat(a, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: born, Sequence: 1, Slots: 4})
 		a.DispatchStarted("a", c)
 	}
 	for end := time.Now().Add(5 * time.Second); b.QuarantineRemaining(c) == 0 && time.Now().Before(end); {
@@ -178,12 +178,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := testState(t, func() int64 { return 1 })
 		beat := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4}
-		s.ReceiveHeartbeat(beat)
+		receiveHeartbeat(s, beat)
 		s.DispatchStarted("a", dogcrash.Content{Shared: 17, Own: 7})
 		time.Sleep(2 * maxMissedHeartbeats * s.settings.Heartbeat)
 		s.refresh()
 		beat.Born = 200
-		s.ReceiveHeartbeat(beat)
+		receiveHeartbeat(s, beat)
 		if got := len(s.entry().Crashes); got != 2 {
 			t.Errorf("%d reports of a crash after silence, want 2 (for the caller and for all)", got)
 		}
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -29,7 +29,9 @@
 	entriesPath = "/entries" // Entries of all known nodes.
 	entryPath   = "/entry"   // Takes the entry of the sender.
 	crashesPath = "/crashes" // Takes reports of crashes.
-	freshPath   = "/fresh"   // How long ago the configuration is known to have been the newest.
+	// departurePath takes the departure of a target: of the sender's, or of the receiver's.
+	departurePath = "/departure"
+	freshPath     = "/fresh" // How long ago the configuration is known to have been the newest.
 )
 
 const (
@@ -257,6 +259,7 @@
 	}
 	mux.HandleFunc("POST "+crashesPath, p.receiveReports)
 	mux.HandleFunc("POST "+entryPath, p.receiveEntry)
+	mux.HandleFunc("POST "+departurePath, p.receiveDeparture)
 	mux.HandleFunc(entriesPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := json.NewEncoder(w).Encode(p.state.entries()); err != nil {
 			p.log.event(doglog.ConfigPullFailed, doglog.Err(err))
--- a/io/process/dogsidecar/peers_test.go
+++ b/io/process/dogsidecar/peers_test.go
@@ -101,7 +101,7 @@
 func TestReusedAddress(t *testing.T) {
 	other := testState(t, func() int64 { return 1 })
 	other.settings.Node = "depot-9"
-	other.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
+	receiveHeartbeat(other, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	receiver := httptest.NewServer((&peers{state: other, configs: &configs{}, log: other.log}).handler())
 	defer receiver.Close()
 	s := testState(t, func() int64 { return 1 })
--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -348,7 +348,7 @@
 		t.Fatal(err)
 	}
 	n.configs.tables.Offer(table)
-	n.state.ReceiveHeartbeat(dogtarget.Heartbeat{
+	receiveHeartbeat(n.state, dogtarget.Heartbeat{
 		ID: "i-1", Service: "rounds", Address: s.Target, Born: 1, Sequence: 1, Slots: 100,
 	})
 	if err := n.listen(); err != nil {
--- a/io/process/dogsidecar/ramp_test.go
+++ b/io/process/dogsidecar/ramp_test.go
@@ -104,7 +104,7 @@
 			ID: b.id, Service: "rounds", Address: "10.0.0.1:80", Born: born.UnixMilli(), Sequence: int64(i + 1),
 			Slots: 40, Cold: b.cold,
 		}
-		if e := s.ReceiveHeartbeat(h); e != dogtarget.Accepted {
+		if e := receiveHeartbeat(s, h); e != dogtarget.Accepted {
 			t.Fatalf("heartbeat %d: %v, want accepted", i, e)
 		}
 	}
--- a/io/process/dogsidecar/reports.go
+++ b/io/process/dogsidecar/reports.go
@@ -15,7 +15,7 @@
 		select {
 		case <-ctx.Done():
 		case reports := <-p.state.reports:
-			p.broadcast(ctx, crashesPath, reports, doglog.CrashReportFailed)
+			p.broadcast(ctx, crashesPath, reports, doglog.CrashReportFailed, nil)
 		}
 	}
 	return ctx.Err()
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -15,6 +15,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogadmit"
 	"dogwoodford/core/process/dogpressure"
+	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/core/request/dogroute"
 	"dogwoodford/core/version/dogtable"
 	"dogwoodford/io/connection/dogconn"
@@ -149,6 +150,7 @@
 		transport: forControl, kept: toPeers, state: n.state, store: store, configs: n.configs, log: n.log, keys: n.keys,
 	}
 	n.state.probeAlive = n.peers.isAlive
+	n.state.copyDeparture = func(d dogtarget.Departure) { n.peers.copyDeparture(context.Background(), d) }
 	n.announce = &announcer{state: n.state, store: store, log: n.log}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{
 		Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true, Ramp: rampLimit,
@@ -302,6 +304,7 @@
 	sup.Add(dogserve.Func("follow", n.peers.pullNewer))
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
+	sup.Add(dogserve.Func("departures", n.peers.repeatDepartures))
 	sup.Add(dogserve.Func("reload", n.reload))
 	if n.keys != nil {
 		sup.Add(dogserve.Func("fresh", n.peers.keepFresh))
--- a/io/process/dogsidecar/settings.go
+++ b/io/process/dogsidecar/settings.go
@@ -1,6 +1,7 @@
 package dogsidecar
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -49,10 +50,13 @@
 // HeartbeatReceiver receives the messages of targets about themselves.
 // Implementations are safe for concurrent use.
 type HeartbeatReceiver interface {
-	// ReceiveHeartbeat handles a heartbeat and returns how it was handled.
-	ReceiveHeartbeat(h dogtarget.Heartbeat) dogtarget.Effect
-	// Leave records that the target with this id is leaving for good.
-	Leave(id string)
+	// ReceiveHeartbeat handles a heartbeat and returns how it was handled. An error means
+	// that it must not be acknowledged: the target is draining, and this would be forgotten
+	// if the process ended.
+	ReceiveHeartbeat(ctx context.Context, h dogtarget.Heartbeat) (dogtarget.Effect, error)
+	// Leave records that the target with this id is leaving for good. The error is that of
+	// ReceiveHeartbeat.
+	Leave(ctx context.Context, id string) error
 	// Reject records a message that could not be parsed.
 	Reject(err error)
 }
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -122,9 +122,20 @@
 	t.Cleanup(log.close)
 	s := newState(testSettings(), log, version)
 	s.setSlots = func(int) {}
+	s.copyDeparture = func(dogtarget.Departure) {}
 	return s
 }
 
+// receiveHeartbeat delivers a heartbeat in a test that does not ask whether a departure is
+// kept.
+func receiveHeartbeat(s *state, h dogtarget.Heartbeat) dogtarget.Effect {
+	e, _ := s.ReceiveHeartbeat(context.Background(), h)
+	return e
+}
+
+// leaveTarget makes the target leave, likewise.
+func leaveTarget(s *state, id string) { _ = s.Leave(context.Background(), id) }
+
 func waitLong() time.Duration { return entriesWait }
 
 // TestWatchRestartsAfterMissedChange guards against a watch that never recovers
@@ -217,18 +228,18 @@
 	}
 	s.setListed()
 	record("before the first heartbeat")
-	s.ReceiveHeartbeat(beat)
+	receiveHeartbeat(s, beat)
 	record("ready")
 	beat.Sequence++
-	s.ReceiveHeartbeat(beat)
+	receiveHeartbeat(s, beat)
 	record("another heartbeat")
 	s.MarkFailed("i-1")
 	record("lost for a moment")
 	beat.Sequence++
 	beat.Draining = true
-	s.ReceiveHeartbeat(beat)
+	receiveHeartbeat(s, beat)
 	record("draining")
-	s.Leave("i-1")
+	leaveTarget(s, "i-1")
 	record("left")
 	want := []string{
 		"before the first heartbeat: starting, 0 writes", "ready: ready, 1 writes", "another heartbeat: ready, 1 writes",
@@ -249,7 +260,7 @@
 	f.objects["rounds-1"] = dogwoodford.Object{Name: "rounds-1", Version: 6, Value: []byte(`{"node":"rounds-1","state":2}`)}
 	a := &announcer{state: s, store: f, log: s.log}
 	s.setListed()
-	s.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
+	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	if err := a.write(t.Context()); err == nil {
 		t.Error("overwrote an entry that was not seen")
 	}
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -1,6 +1,7 @@
 package dogsidecar
 
 import (
+	"context"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"dogwoodford"
 	"dogwoodford/core/process/dogbudget"
 	"dogwoodford/core/process/dogcrash"
+	"dogwoodford/core/process/dogdeparture"
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/core/process/dogpace"
 	"dogwoodford/core/process/dogtarget"
@@ -30,13 +32,16 @@
 	settings     Settings
 	log          *logger
 	written      chan versionedEntry    // Receives the node's own entry to send to the others.
-	stored       chan struct{}          // Closed at the next change of the node's own entry in the store.
+	keptChanged  chan struct{}          // Closed when the store or another node may keep the last departure.
 	entryChanged chan struct{}          // Receives a value when the node's own entry may have changed.
 	newerConfigs chan string            // Receives the peer address of a node with a newer configuration.
 	reports      chan []dogcrash.Report // Receives crash reports of this node to send to the others.
 	version      func() int64
 	probeAlive   func(e dogfleet.Entry) bool // Reports whether a node answers.
 	setSlots     func(n int)                 // Sets the number of requests that the target runs concurrently.
+	// copyDeparture sends a departure to the other nodes, and reports those that keep it
+	// to departureCopied.
+	copyDeparture func(d dogtarget.Departure)
 
 	ramps *rampMonitor // Nil if the limit has no ramps.
 
@@ -48,6 +53,7 @@
 	// running.
 	silenceTimerRunning bool
 	target              *dogtarget.Tracker
+	departures          *dogdeparture.Ledger
 	loggedState         dogwoodford.State // Last logged state of the target.
 	budget              *dogbudget.Budget
 	pace                *dogpace.Pace
@@ -58,15 +64,16 @@
 
 func newState(s Settings, log *logger, version func() int64) *state {
 	return &state{
-		settings: s, log: log, version: version, stored: make(chan struct{}), written: make(chan versionedEntry, 1),
+		settings: s, log: log, version: version, keptChanged: make(chan struct{}), written: make(chan versionedEntry, 1),
 		entryChanged: make(chan struct{}, 1), newerConfigs: make(chan string, 1),
 		reports: make(chan []dogcrash.Report, maxWaitingReports),
 		fleet:   dogfleet.New(), silence: dogfleet.NewSilenceDetector(), aliveContexts: make(aliveContexts),
 		target: dogtarget.New(dogtarget.Options{
 			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat,
 		}),
-		budget: dogbudget.New(budgetOptions(s)),
-		pace:   dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
+		departures: dogdeparture.New(),
+		budget:     dogbudget.New(budgetOptions(s)),
+		pace:       dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
 		crashes: crashes{
 			detector: dogcrash.NewDetector(s.Node, strconv.FormatInt(time.Now().UnixMilli(), 10)),
 		},
@@ -74,7 +81,7 @@
 }
 
 // ReceiveHeartbeat implements HeartbeatReceiver.
-func (s *state) ReceiveHeartbeat(h dogtarget.Heartbeat) dogtarget.Effect {
+func (s *state) ReceiveHeartbeat(ctx context.Context, h dogtarget.Heartbeat) (dogtarget.Effect, error) {
 	s.mu.Lock()
 	before, known := s.target.LastHeartbeat()
 	wasRunning, wasReady := s.target.Running(), s.target.State(time.Now()) == dogwoodford.StateReady
@@ -93,9 +100,6 @@
 		if started {
 			s.ramps.start(h.ID, start)
 		}
-		if h.Draining {
-			s.awaitDeparture()
-		}
 	}
 	switch e {
 	case dogtarget.Foreign:
@@ -105,17 +109,20 @@
 		s.log.event(doglog.HeartbeatOutdated, slog.String("target", h.ID), slog.Int64("born", h.Born),
 			slog.Int64("sequence", h.Sequence))
 	}
-	return e
+	if h.Draining && e != dogtarget.Foreign {
+		return e, s.keepDeparture(ctx)
+	}
+	return e, nil
 }
 
 // Leave implements HeartbeatReceiver.
-func (s *state) Leave(id string) {
+func (s *state) Leave(ctx context.Context, id string) error {
 	s.mu.Lock()
 	s.target.MarkLeft(time.Now(), id)
 	s.updateTargetState()
 	s.wakeAnnouncer()
 	s.mu.Unlock()
-	s.awaitDeparture()
+	return s.keepDeparture(ctx)
 }
 
 // Reject implements HeartbeatReceiver.
@@ -288,7 +295,15 @@
 	if h, ok := s.target.LastHeartbeat(); ok {
 		e.Slots, e.Cold = h.Slots, s.cold(h)
 	}
-	e.Departed = s.target.Departure()
+	departed, unstored := s.lastDeparture()
+	e.Departed = departed
+	if have, _, known := s.fleet.Entry(s.settings.Node); unstored && e.State == dogwoodford.StateStarting {
+		// No heartbeat was accepted since the start, but the target is known to depart.
+		e.State = dogwoodford.StateDraining
+		if known {
+			e.Slots, e.Cold = have.Slots, have.Cold
+		}
+	}
 	e.Crashes = slices.Clone(s.crashes.ownReports)
 	if s.stop.guardClosed(time.Now()) {
 		e.State = dogwoodford.StateDraining
--- a/io/process/dogsidecar/stop_test.go
+++ b/io/process/dogsidecar/stop_test.go
@@ -25,7 +25,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := testState(t, func() int64 { return 1 })
-			s.ReceiveHeartbeat(dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
+			receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 			s.beginStop(dogstop.NewPlan(time.Now(), 6*time.Second))
 			if !s.stopping() {
 				t.Error("the node reports that it is ready")
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -24,7 +24,9 @@
 	if e.Node == s.settings.Node {
 		s.target.Restore(e.Departed)
 		s.updateTargetState()
-		s.storedChanged()
+		s.departureChanged()
+	} else {
+		s.departures.Stored(e.Node, e.Departed)
 	}
 	s.mu.Unlock()
 	if isNew {
