dogtarget: a leave is kept though the last heartbeat was of another target

Callers saw: nothing yet; found while looking for further places that acknowledge what nobody holds. A node is started again and takes a late heartbeat of an earlier target for the present. The target that is really there leaves, is acknowledged, and gets requests as soon as one of its own late heartbeats arrives.

Cause: MarkLeft ignored the leave of an id other than that of the last accepted heartbeat, and the leave was acknowledged all the same.

Change: such a leave is kept as one before the first heartbeat is, and so goes into the entry and to the other nodes. The state of the last accepted target stays as it was.

Measured: the new script of TestScripts failed before ("accepted ready b" after the leave of b, and no departure kept) and passes now; dogtarget and dogsidecar pass.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -62,8 +62,8 @@
 	opts     Options
 	current  *incarnation
 	leftBorn map[string]int64 // Start of the last incarnation that has left, by id.
-	// leftUnseen holds the times at which targets left before the first
-	// heartbeat was accepted, as after a start of the node, by id.
+	// leftUnseen holds the times at which targets left of which no heartbeat was
+	// accepted, as after a start of the node, by id.
 	leftUnseen map[string]time.Time
 	// departed is the last departure, but for that of current, which Departure adds.
 	departed Departure
@@ -127,7 +127,7 @@
 // leaving for good. Later heartbeats of the same incarnation are outdated.
 func (w *Tracker) MarkLeft(now time.Time, id string) {
 	c := w.current
-	if c == nil {
+	if c == nil || c.heartbeat.ID != id {
 		if len(w.leftUnseen) >= maxLeft {
 			clear(w.leftUnseen)
 		}
@@ -135,9 +135,6 @@
 		w.departed = Departure{ID: id, Born: now.UnixMilli() - 1}
 		return
 	}
-	if c.heartbeat.ID != id {
-		return
-	}
 	if len(w.leftBorn) >= maxLeft {
 		clear(w.leftBorn)
 	}
