dogsidecar: a drain that the node does not follow is not acknowledged

Cause: an outdated heartbeat was acknowledged like an accepted one, also one that says draining.

Change: an outdated heartbeat that says draining is acknowledged only if the node knows of that departure, as with a repeated or late one, and is then kept like any other.

Measured: TestOutdatedDrain failed without the check ("error <nil>") and passes now.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -191,6 +191,11 @@
 	return ok && born >= d.Born
 }
 
+// HasDeparted reports whether an incarnation is known to take no new requests.
+func (w *Tracker) HasDeparted(id string, born int64) bool {
+	return w.knows(Departure{ID: id, Born: born})
+}
+
 // RecordAnswer records that the target with the given id answered a request.
 func (w *Tracker) RecordAnswer(now time.Time, id string) {
 	if c := w.current; c != nil && c.heartbeat.ID == id {
--- a/io/process/dogsidecar/departure.go
+++ b/io/process/dogsidecar/departure.go
@@ -28,6 +28,10 @@
 // target stops getting requests all the same.
 var errDepartureNotKept = eris.New("neither the store nor other nodes hold the departure")
 
+// errDepartureUnknown means that the heartbeat of a draining target is older than the one
+// that is taken for the present, and that the node doesn't follow it.
+var errDepartureUnknown = eris.New("the target that drains is not the present one")
+
 // departureMessage is a departure as nodes send it to each other: to others that keep a
 // copy, and back to the node beside whose target it happened.
 type departureMessage struct {
--- a/io/process/dogsidecar/departure_test.go
+++ b/io/process/dogsidecar/departure_test.go
@@ -121,6 +121,34 @@
 	}
 }
 
+// TestOutdatedDrain guards against a drain that is acknowledged and not followed, because
+// the heartbeat is older than the one that is taken for the present.
+func TestOutdatedDrain(t *testing.T) {
+	present := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 200, Sequence: 5, Slots: 4}
+	for _, tc := range []struct {
+		name           string
+		born, sequence int64
+		drained        bool // The present target has said before that it is draining.
+		err            error
+	}{
+		{"a repeated drain", 200, 6, true, nil},
+		{"a late drain behind a later one", 200, 4, true, nil},
+		{"another start, taken for an earlier one", 100, 9, false, errDepartureUnknown},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := testState(t, func() int64 { return 1 })
+			beat := present
+			beat.Draining = tc.drained
+			time.AfterFunc(time.Millisecond, func() { s.put(s.entry(), 3) })
+			receiveHeartbeat(s, beat)
+			beat.Born, beat.Sequence, beat.Draining = tc.born, tc.sequence, true
+			if _, err := s.ReceiveHeartbeat(t.Context(), beat); !errors.Is(err, tc.err) {
+				t.Errorf("%s: error %v, want %v", tc.name, err, tc.err)
+			}
+		})
+	}
+}
+
 // newDepartureNode returns the peers of a node that listens on a loopback address, with
 // its entry.
 func newDepartureNode(t *testing.T, name string) (*peers, dogfleet.Entry) {
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -90,6 +91,7 @@
 		s.targetCrashed()
 	}
 	s.updateTargetState()
+	departed := s.target.HasDeparted(h.ID, h.Born)
 	start, started := dogwoodford.Start{}, false
 	if e == dogtarget.Accepted {
 		start, started = s.startOf(before, h, known, wasReady)
@@ -109,10 +111,13 @@
 		s.log.event(doglog.HeartbeatOutdated, slog.String("target", h.ID), slog.Int64("born", h.Born),
 			slog.Int64("sequence", h.Sequence))
 	}
-	if h.Draining && e != dogtarget.Foreign {
-		return e, s.keepDeparture(ctx)
+	if !h.Draining || e == dogtarget.Foreign {
+		return e, nil
 	}
-	return e, nil
+	if !departed {
+		return e, fmt.Errorf("drain of %s: %w", h.ID, errDepartureUnknown)
+	}
+	return e, s.keepDeparture(ctx)
 }
 
 // Leave implements HeartbeatReceiver.
