dogtarget: a start without the store doesn't trust a single heartbeat

Callers saw: as with the departure that only its node held, if all nodes are killed at once. Other nodes then keep no copies, and a late heartbeat brings the target back into use. Until another node returns a copy, the same holds for a node that is killed alone.

Cause: the first heartbeat after a start was taken for the present, whatever the process could know of what an earlier one had acknowledged.

Change: a process whose first question to the store had no answer uses its target only after a second heartbeat of the same start, half a heartbeat interval or more behind the first. A target that has left sends none, so that one late heartbeat is confirmed by nothing. A node that starts while the store answers uses its target after one heartbeat, as before. The ramp of a target starts with the heartbeat that counts.

Not covered: two late heartbeats, and a store that is back before the killed nodes are.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -48,6 +48,9 @@
 	// Silence is the time without a heartbeat and without an answer after which
 	// a target counts as failed.
 	Silence time.Duration
+	// Confirmation is the shortest time between a heartbeat and a later one that confirms
+	// it, see RequireConfirmation.
+	Confirmation time.Duration
 }
 
 // Target describes an incarnation that may be sent requests.
@@ -67,13 +70,16 @@
 	leftUnseen map[string]time.Time
 	// departed is the last departure, but for that of current, which Departure adds.
 	departed Departure
+	// unconfirmed tells that a first heartbeat must be confirmed by a later one.
+	unconfirmed bool
 }
 
 // incarnation is one run of the target, from its start to its end.
 type incarnation struct {
-	heartbeat Heartbeat
-	state     dogwoodford.State
-	lastHeard time.Time // Last heartbeat or answer.
+	heartbeat  Heartbeat
+	state      dogwoodford.State // Starting while the first heartbeat is not confirmed.
+	firstHeard time.Time         // First heartbeat.
+	lastHeard  time.Time         // Last heartbeat or answer.
 }
 
 // maxLeft bounds the number of ids that are remembered as having left. Only the
@@ -105,16 +111,28 @@
 	if c := w.current; c != nil && older(r, c.heartbeat) {
 		return Outdated
 	}
-	next := &incarnation{heartbeat: r, state: dogwoodford.StateReady, lastHeard: now}
-	drained := w.current != nil && w.current.heartbeat.Born == r.Born && w.current.heartbeat.ID == r.ID &&
-		w.current.state == dogwoodford.StateDraining
-	if r.Draining || drained {
+	next := &incarnation{heartbeat: r, state: dogwoodford.StateReady, firstHeard: now, lastHeard: now}
+	last := w.current
+	same := last != nil && last.heartbeat.Born == r.Born && last.heartbeat.ID == r.ID
+	if same {
+		next.firstHeard = last.firstHeard
+	}
+	switch {
+	case r.Draining || same && last.state == dogwoodford.StateDraining:
 		next.state = dogwoodford.StateDraining
+	case w.unconfirmed && now.Sub(next.firstHeard) < w.opts.Confirmation && (last == nil || last.state == dogwoodford.StateStarting):
+		next.state = dogwoodford.StateStarting
 	}
 	w.current = next
 	return Accepted
 }
 
+// RequireConfirmation sets whether the first heartbeat since the start of the node counts
+// only once a later one of the same incarnation confirms it. A process that cannot know what
+// an earlier process of its node acknowledged needs that: a heartbeat from before a departure
+// can arrive late, and no other follows it.
+func (w *Tracker) RequireConfirmation(v bool) { w.unconfirmed = v }
+
 // older reports whether r is not newer than last, the last accepted heartbeat.
 func older(r, last Heartbeat) bool {
 	if r.Born != last.Born {
--- a/core/process/dogtarget/tracker_test.go
+++ b/core/process/dogtarget/tracker_test.go
@@ -15,7 +15,7 @@
 // is a time, an event, "->" and the state after it.
 func TestScripts(t *testing.T) {
 	dogscript.RunLines(t, "testdata/target.txtar", func() func(*testing.T, []string) string {
-		w := New(Options{Service: "rounds", Address: "10.0.0.1:80", Silence: 4500 * time.Millisecond})
+		w := New(Options{Service: "rounds", Address: "10.0.0.1:80", Silence: 4500 * time.Millisecond, Confirmation: 750 * time.Millisecond})
 		return func(t *testing.T, words []string) string { return step(t, w, words) }
 	})
 }
@@ -44,6 +44,8 @@
 		w.Restore(Departure{ID: f[2], Born: parseHeartbeat(t, f[2:]).Born})
 	case "departed":
 		return strings.TrimSpace(fmt.Sprintf("%s %d", w.Departure().ID, w.Departure().Born))
+	case "unsure":
+		w.RequireConfirmation(true)
 	case "wait":
 	default:
 		t.Fatalf("unknown event %q", f[1])
--- a/io/process/dogsidecar/departure_test.go
+++ b/io/process/dogsidecar/departure_test.go
@@ -149,6 +149,48 @@
 	}
 }
 
+// TestFirstHeartbeat guards against a node that takes a late heartbeat for the present after
+// a start, though the store was away when it started and nobody can tell it what an earlier
+// process acknowledged. While the store answers, one heartbeat is enough.
+func TestFirstHeartbeat(t *testing.T) {
+	beat := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Slots: 4}
+	for _, tc := range []struct {
+		name   string
+		away   time.Duration // Time for which the store is away, from the start on.
+		needed int           // Heartbeats until the target is used.
+	}{
+		{"store answers", 0, 1},
+		{"store is away at first", 500 * time.Millisecond, 2},
+		{"store stays away", time.Hour, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := testState(t, func() int64 { return 1 }), newFakeStore()
+			f.setError(dogwoodford.ErrUnavailable)
+			if tc.away == 0 {
+				f.setError(nil)
+			}
+			back := time.AfterFunc(tc.away, func() { f.setError(nil) })
+			defer back.Stop()
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- s.newEntryWatcher(f).Serve(ctx) }()
+			time.Sleep(2 * time.Second)
+			n, reason := 0, dogwoodford.ReasonNoTarget
+			for ; n < 5 && reason != dogwoodford.ReasonNone; n++ {
+				beat.Sequence++
+				receiveHeartbeat(s, beat)
+				_, reason = s.Current()
+				time.Sleep(s.settings.Heartbeat)
+			}
+			if n != tc.needed {
+				t.Errorf("%s: used after %d heartbeats, want %d", tc.name, n, tc.needed)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
 // newDepartureNode returns the peers of a node that listens on a loopback address, with
 // its entry.
 func newDepartureNode(t *testing.T, name string) (*peers, dogfleet.Entry) {
--- a/io/process/dogsidecar/ramp.go
+++ b/io/process/dogsidecar/ramp.go
@@ -59,7 +59,7 @@
 }
 
 // startOf returns the start that an accepted heartbeat h shows; false if the target has
-// been running. before is the last heartbeat, known tells whether there was one, and
+// been running. before is the last heartbeat, known tells whether one counted, and
 // wasReady whether the target was ready then. The caller must hold s.mu.
 func (s *state) startOf(before, h dogtarget.Heartbeat, known, wasReady bool) (dogwoodford.Start, bool) {
 	now := time.Now()
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -61,6 +61,9 @@
 	crashes             crashes
 	stop                stopState
 	listed              bool // The entries were listed from the store.
+	// listAttempts is the number of times that the entries were asked for until they were
+	// listed for the first time.
+	listAttempts int
 }
 
 func newState(s Settings, log *logger, version func() int64) *state {
@@ -70,7 +73,7 @@
 		reports: make(chan []dogcrash.Report, maxWaitingReports),
 		fleet:   dogfleet.New(), silence: dogfleet.NewSilenceDetector(), aliveContexts: make(aliveContexts),
 		target: dogtarget.New(dogtarget.Options{
-			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat,
+			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat, Confirmation: s.Heartbeat / 2,
 		}),
 		departures: dogdeparture.New(),
 		budget:     dogbudget.New(budgetOptions(s)),
@@ -84,8 +87,10 @@
 // ReceiveHeartbeat implements HeartbeatReceiver.
 func (s *state) ReceiveHeartbeat(ctx context.Context, h dogtarget.Heartbeat) (dogtarget.Effect, error) {
 	s.mu.Lock()
-	before, known := s.target.LastHeartbeat()
-	wasRunning, wasReady := s.target.Running(), s.target.State(time.Now()) == dogwoodford.StateReady
+	before, _ := s.target.LastHeartbeat()
+	stateBefore := s.target.State(time.Now())
+	known, wasReady, wasRunning := stateBefore != dogwoodford.StateStarting, stateBefore == dogwoodford.StateReady, s.target.Running()
+	s.target.RequireConfirmation(s.startedWithoutStore())
 	e := s.target.Observe(time.Now(), h)
 	if e == dogtarget.Accepted && known && wasRunning && (before.ID != h.ID || before.Born != h.Born) {
 		s.targetCrashed()
@@ -328,6 +333,22 @@
 	return h.Cold > 0
 }
 
+// entriesAsked counts the questions for the entries before the first answer.
+func (s *state) entriesAsked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		s.listAttempts++
+	}
+}
+
+// startedWithoutStore reports whether the store did not answer the first question for the
+// entries. An earlier process of this node may then have acknowledged what the store does not
+// hold. The caller must hold s.mu.
+func (s *state) startedWithoutStore() bool {
+	return s.listAttempts > 1 || s.listAttempts == 1 && !s.listed
+}
+
 func (s *state) setListed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -125,7 +125,7 @@
 	}
 	return &kindWatcher{
 		kind: targetKind, wait: func() time.Duration { return entriesWait }, store: store, log: s.log,
-		pause: func() time.Duration { return dogpace.Pause(s.NodeCount()) },
+		pause: func() time.Duration { return dogpace.Pause(s.NodeCount()) }, asked: s.entriesAsked,
 		listed: func(objects []dogwoodford.Object) {
 			names := make([]string, 0, len(objects))
 			for _, o := range objects {
