dogsidecar: a node that starts without the store asks others for departures

Callers saw: fewer requests served after kills while the store was away.

Cause: the node waited even if other nodes had run all the while and could tell it whether it had acknowledged a departure.

Change: a node that starts without the store asks up to three others for the copies that they keep for it, as soon as it knows any. One that has run longer than this node by a round of messages and 10 s was sent all departures that an earlier process acknowledged; if one such has answered, a single heartbeat is enough again. Copies arrive without waiting for the next round. If all nodes were started again, none can vouch, and the second heartbeat decides.

--- a/core/process/dogdeparture/doc.go
+++ b/core/process/dogdeparture/doc.go
@@ -6,6 +6,9 @@
 // other nodes keep copies. They return a departure to its node until the store holds it, as
 // they cannot see whether the node was restarted and has forgotten it.
 //
+// A node that starts while the store is away asks other nodes for copies, and whether they
+// have run for long enough to have received them all.
+//
 // A Ledger holds what one node knows: the departure of its own target with the nodes that
 // have a copy, and the copies that it keeps for others.
 //
--- a/core/process/dogdeparture/ledger.go
+++ b/core/process/dogdeparture/ledger.go
@@ -31,6 +31,15 @@
 // Interval returns the time between two rounds of messages in a fleet of n nodes.
 func Interval(n int) time.Duration { return max(minInterval, time.Duration(n)*intervalPerNode) }
 
+// assuranceMargin is the time by which a node must have run for longer than another to be sure
+// of its departures, in addition to an interval. It exceeds the restart of a process.
+const assuranceMargin = 10 * time.Second
+
+// Assures reports whether a node that has run for peer received every departure that an
+// earlier process of a node acknowledged whose present process has run for own, in a fleet
+// of n nodes: the earlier process sent it in each round to all that ran.
+func Assures(peer, own time.Duration, n int) bool { return peer-own >= Interval(n)+assuranceMargin }
+
 // Copy is a departure that is kept for the node beside whose target it happened.
 type Copy struct {
 	Node      string
@@ -115,6 +124,17 @@
 	return out
 }
 
+// CopiesOf returns the departures that are kept for a node, in the order of the targets.
+func (l *Ledger) CopiesOf(now time.Time, node string) []dogtarget.Departure {
+	var out []dogtarget.Departure
+	for _, c := range l.Copies(now) {
+		if c.Node == node {
+			out = append(out, c.Departure)
+		}
+	}
+	return out
+}
+
 // expire drops the copies that were not received for copyLifetime.
 func (l *Ledger) expire(now time.Time) {
 	for key, c := range l.copies {
--- a/core/process/dogdeparture/ledger_test.go
+++ b/core/process/dogdeparture/ledger_test.go
@@ -52,6 +52,8 @@
 			out = append(out, fmt.Sprintf("%s:%s@%d", c.Node, c.Departure.ID, c.Departure.Born))
 		}
 		return strings.Join(append(out, fmt.Sprint(len(out))), " ")
+	case "copies-of":
+		return fmt.Sprint(l.CopiesOf(now, words[2]))
 	default:
 		t.Fatalf("unknown command %q", words[1])
 	}
@@ -79,6 +81,26 @@
 	return dogtarget.Departure{ID: id, Born: born}
 }
 
+// TestAssures guards against a node that takes another's word for it that it acknowledged
+// nothing, though that one has started too recently to know.
+func TestAssures(t *testing.T) {
+	for _, c := range []struct {
+		peer, own time.Duration
+		nodes     int
+		want      bool
+	}{
+		{time.Minute, 2 * time.Second, 13, true},
+		{5 * time.Second, 5 * time.Second, 13, false},
+		{12 * time.Second, 2 * time.Second, 13, false},
+		{13 * time.Second, 2 * time.Second, 13, true},
+		{20 * time.Second, 2 * time.Second, 600, false},
+	} {
+		if got := Assures(c.peer, c.own, c.nodes); got != c.want {
+			t.Errorf("a node that has run for %v for one that has run for %v, of %d: %v, want %v", c.peer, c.own, c.nodes, got, c.want)
+		}
+	}
+}
+
 // TestInterval guards against messages about a departure that take a growing part of the
 // processor time in a large fleet.
 func TestInterval(t *testing.T) {
--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -130,8 +130,14 @@
 // RequireConfirmation sets whether the first heartbeat since the start of the node counts
 // only once a later one of the same incarnation confirms it. A process that cannot know what
 // an earlier process of its node acknowledged needs that: a heartbeat from before a departure
-// can arrive late, and no other follows it.
-func (w *Tracker) RequireConfirmation(v bool) { w.unconfirmed = v }
+// can arrive late, and no other follows it. If it is no longer required, a heartbeat that
+// waits for its confirmation counts.
+func (w *Tracker) RequireConfirmation(v bool) {
+	w.unconfirmed = v
+	if c := w.current; !v && c != nil && c.state == dogwoodford.StateStarting {
+		c.state = dogwoodford.StateReady
+	}
+}
 
 // older reports whether r is not newer than last, the last accepted heartbeat.
 func older(r, last Heartbeat) bool {
--- a/core/process/dogtarget/tracker_test.go
+++ b/core/process/dogtarget/tracker_test.go
@@ -46,6 +46,8 @@
 		return strings.TrimSpace(fmt.Sprintf("%s %d", w.Departure().ID, w.Departure().Born))
 	case "unsure":
 		w.RequireConfirmation(true)
+	case "sure":
+		w.RequireConfirmation(false)
 	case "wait":
 	default:
 		t.Fatalf("unknown event %q", f[1])
--- a/io/process/dogsidecar/departure_test.go
+++ b/io/process/dogsidecar/departure_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dogwoodford"
+	"dogwoodford/core/process/dogdeparture"
 	"dogwoodford/core/process/dogfleet"
 	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/io/connection/dogconn"
@@ -247,6 +248,38 @@
 	}
 }
 
+// TestAssurance guards against a node that starts without the store and uses a departed
+// target again, though another node keeps the departure, or that stays without its target
+// though one that has run all the while knows of none.
+func TestAssurance(t *testing.T) {
+	beat := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4}
+	departure := dogdeparture.Copy{Node: "rounds-1", Departure: dogtarget.Departure{ID: "i-1", Born: 100}}
+	for _, tc := range []struct {
+		name   string
+		uptime time.Duration // Of the other node.
+		kept   bool          // The other node keeps the departure.
+		state  dogwoodford.State
+	}{
+		{"it has run for long", time.Minute, false, dogwoodford.StateReady},
+		{"it has run for long and keeps the departure", time.Minute, true, dogwoodford.StateDraining},
+		{"it was started as well", time.Second, false, dogwoodford.StateStarting},
+	} {
+		other, entry := newDepartureNode(t, "rounds-2")
+		other.state.started = time.Now().Add(-tc.uptime)
+		if tc.kept {
+			other.state.departures.Keep(time.Now(), departure)
+		}
+		own, _ := newDepartureNode(t, "rounds-1")
+		own.state.entriesAsked()
+		receiveHeartbeat(own.state, beat)
+		own.state.put(entry, 1)
+		own.askDepartures(t.Context())
+		if got := own.state.target.State(time.Now()); got != tc.state || own.state.isUnsure() != (tc.state == dogwoodford.StateStarting) {
+			t.Errorf("%s: state %v, unsure %v; want %v", tc.name, got, own.state.isUnsure(), tc.state)
+		}
+	}
+}
+
 // TestDepartureWithoutHeartbeat guards against a departure that the store never holds,
 // because the process was started again and no heartbeat of the target has come since.
 func TestDepartureWithoutHeartbeat(t *testing.T) {
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -30,6 +30,7 @@
 	entryPath   = "/entry"   // Takes the entry of the sender.
 	crashesPath = "/crashes" // Takes reports of crashes.
 	// departurePath takes the departure of a target: of the sender's, or of the receiver's.
+	// It answers with those of the node that is named in the query.
 	departurePath = "/departure"
 	freshPath     = "/fresh" // How long ago the configuration is known to have been the newest.
 )
@@ -216,6 +217,9 @@
 		case addr := <-p.state.newerConfigs:
 			p.configs.pull(ctx, p, addr)
 			p.pullEntries(ctx, addr)
+			if p.state.isUnsure() {
+				p.askDepartures(ctx)
+			}
 			dogserve.Sleep(ctx, minPullInterval)
 		}
 	}
@@ -260,6 +264,7 @@
 	mux.HandleFunc("POST "+crashesPath, p.receiveReports)
 	mux.HandleFunc("POST "+entryPath, p.receiveEntry)
 	mux.HandleFunc("POST "+departurePath, p.receiveDeparture)
+	mux.HandleFunc("GET "+departurePath, p.serveDepartures)
 	mux.HandleFunc(entriesPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := json.NewEncoder(w).Encode(p.state.entries()); err != nil {
 			p.log.event(doglog.ConfigPullFailed, doglog.Err(err))
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -305,6 +305,7 @@
 	sup.Add(dogserve.Func("reports", n.peers.sendReports))
 	sup.Add(dogserve.Func("entries", n.peers.sendEntries))
 	sup.Add(dogserve.Func("departures", n.peers.repeatDepartures))
+	sup.Add(dogserve.Func("assure", n.peers.assure))
 	sup.Add(dogserve.Func("reload", n.reload))
 	if n.keys != nil {
 		sup.Add(dogserve.Func("fresh", n.peers.keepFresh))
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -64,6 +64,8 @@
 	// listAttempts is the number of times that the entries were asked for until they were
 	// listed for the first time.
 	listAttempts int
+	assured      bool // Another node knows the departures that this one has acknowledged.
+	started      time.Time
 }
 
 func newState(s Settings, log *logger, version func() int64) *state {
@@ -76,6 +78,7 @@
 			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat, Confirmation: s.Heartbeat / 2,
 		}),
 		departures: dogdeparture.New(),
+		started:    time.Now(),
 		budget:     dogbudget.New(budgetOptions(s)),
 		pace:       dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
 		crashes: crashes{
@@ -90,7 +93,7 @@
 	before, _ := s.target.LastHeartbeat()
 	stateBefore := s.target.State(time.Now())
 	known, wasReady, wasRunning := stateBefore != dogwoodford.StateStarting, stateBefore == dogwoodford.StateReady, s.target.Running()
-	s.target.RequireConfirmation(s.startedWithoutStore())
+	s.target.RequireConfirmation(s.unsure())
 	e := s.target.Observe(time.Now(), h)
 	if e == dogtarget.Accepted && known && wasRunning && (before.ID != h.ID || before.Born != h.Born) {
 		s.targetCrashed()
@@ -342,11 +345,12 @@
 	}
 }
 
-// startedWithoutStore reports whether the store did not answer the first question for the
-// entries. An earlier process of this node may then have acknowledged what the store does not
-// hold. The caller must hold s.mu.
-func (s *state) startedWithoutStore() bool {
-	return s.listAttempts > 1 || s.listAttempts == 1 && !s.listed
+// unsure reports whether an earlier process of this node may have acknowledged what this one
+// doesn't know: the store did not answer its first question for the entries, and no other
+// node has helped out. The caller must hold s.mu.
+func (s *state) unsure() bool {
+	startedWithStore := s.listAttempts == 0 || s.listAttempts == 1 && s.listed
+	return !startedWithStore && !s.assured
 }
 
 func (s *state) setListed() {
