dogconn: a whole answer is used though its connection was reset

Callers saw: 502 in place of an answer that had arrived whole. A target answers a long upload before it has read it, with a length or in chunks, and resets the connection.

Cause: a call whose body can't be written aborts the read of its response by a deadline in the past. That is needed if the body could not be read from the caller, as the target then waits for its rest. It was done for a reset too, where the read ends by itself, behind what has arrived.

Change: only a body that could not be read aborts the read. An answer that ends with its connection is refused behind a failed write, as before.

--- a/io/connection/dogconn/direct.go
+++ b/io/connection/dogconn/direct.go
@@ -146,9 +146,10 @@
 	x.watcher = x.pool.liveness.watch(x.pconn.conn.Conn)
 	go func() {
 		err := x.writeAndFlush(req)
-		if err != nil {
-			// Aborts the read of the response: the server would wait for
-			// the rest of the body.
+		if err != nil && !x.pconn.conn.writeFailed() {
+			// The body could not be read. Aborts the read of the response: the
+			// server would wait for the rest of the body. A connection that has
+			// failed ends the read by itself, behind a response that has arrived.
 			_ = x.pconn.conn.SetDeadline(pastDeadline)
 		}
 		x.writeDone <- err
--- a/io/connection/dogconn/direct_test.go
+++ b/io/connection/dogconn/direct_test.go
@@ -147,6 +147,41 @@
 	close(release)
 }
 
+// TestWholeAnswerBeforeReset guards against a whole response of known length that is given
+// up because the connection was reset while its long call was still being written. One whose
+// length is unknown is not whole then.
+func TestWholeAnswerBeforeReset(t *testing.T) {
+	const tries, bodyBytes, readBytes = 100, 4 << 20, 64 << 10
+	for _, tc := range []struct {
+		name, answer string
+		whole        bool
+	}{
+		{"of known length", okResponse, true},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		{"of unknown length", "HTTP/1.1 200 OK\r\n\r\nok", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, _ := rawServer(t, func(c net.Conn) {
+				_, _ = io.CopyN(io.Discard, c, readBytes)
+				io.WriteString(c, tc.answer)
+				c.(*net.TCPConn).SetLinger(0) // Closing resets the connection.
+			})
+			tr := NewTarget(Options{})
+			defer tr.Close()
+			other, last := 0, error(nil)
+			for range tries {
+				got, _, err := exchangeOnce(t, tr, addr, strings.Repeat("x", bodyBytes))
+				if (err == nil) != tc.whole || tc.whole && got != "ok" {
+					other, last = other+1, err
+				}
+			}
+			if other > 0 {
+				t.Errorf("%d of %d responses: want whole %v; last error %v", other, tries, tc.whole, last)
+			}
+		})
+	}
+}
+
 // TestCancelledCallsCloseConnections guards against calls that hold their
 // connection after they were cancelled, and against the reuse of connections
 // whose response was not read.
--- a/io/connection/dogconn/transport.go
+++ b/io/connection/dogconn/transport.go
@@ -266,6 +266,13 @@
 	return c.writeErr
 }
 
+// writeFailed reports whether a write has failed.
+func (c *conn) writeFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr != nil
+}
+
 func (c *conn) writeCount() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
