dogsidecar: the assurance of a started node in a file of its own

Change: assurance.go has what a node that started without the store does; it stops asking once its target is in use, and its pause doubles. The tracker's condition asks for its own state.

--- a/core/process/dogtarget/tracker.go
+++ b/core/process/dogtarget/tracker.go
@@ -70,8 +70,8 @@
 	leftUnseen map[string]time.Time
 	// departed is the last departure, but for that of current, which Departure adds.
 	departed Departure
-	// unconfirmed tells that a first heartbeat must be confirmed by a later one.
-	unconfirmed bool
+	// needsConfirmation tells that a first heartbeat must be confirmed by a later one.
+	needsConfirmation bool
 }
 
 // incarnation is one run of the target, from its start to its end.
@@ -120,7 +120,7 @@
 	switch {
 	case r.Draining || same && last.state == dogwoodford.StateDraining:
 		next.state = dogwoodford.StateDraining
-	case w.unconfirmed && now.Sub(next.firstHeard) < w.opts.Confirmation && (last == nil || last.state == dogwoodford.StateStarting):
+	case w.needsConfirmation && w.State(now) == dogwoodford.StateStarting && now.Sub(next.firstHeard) < w.opts.Confirmation:
 		next.state = dogwoodford.StateStarting
 	}
 	w.current = next
@@ -133,7 +133,7 @@
 // can arrive late, and no other follows it. If it is no longer required, a heartbeat that
 // waits for its confirmation counts.
 func (w *Tracker) RequireConfirmation(v bool) {
-	w.unconfirmed = v
+	w.needsConfirmation = v
 	if c := w.current; !v && c != nil && c.state == dogwoodford.StateStarting {
 		c.state = dogwoodford.StateReady
 	}
--- /dev/null
+++ b/io/process/dogsidecar/assurance.go
@@ -0,0 +1,120 @@
+package dogsidecar
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"dogwoodford"
+	"dogwoodford/core/process/dogdeparture"
+	"dogwoodford/core/process/dogtarget"
+	"dogwoodford/io/process/doglog"
+	"dogwoodford/io/process/dogserve"
+)
+
+const (
+	// minAssurancePause is the first pause between two questions of a node that started
+	// without the store to others for its departures. The pause doubles up to the interval
+	// of messages about departures.
+	minAssurancePause = 200 * time.Millisecond
+	// maxAssuringNodes is the number of nodes that it asks at a time.
+	maxAssuringNodes = 3
+)
+
+// entriesAsked counts the questions for the entries before the first answer.
+func (s *state) entriesAsked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		s.listAttempts++
+	}
+}
+
+// unsure reports whether an earlier process of this node may have acknowledged what this one
+// doesn't know: the store did not answer its first question for the entries, and no other
+// node has helped out. The caller must hold s.mu.
+func (s *state) unsure() bool {
+	startedWithStore := s.listAttempts == 0 || s.listAttempts == 1 && s.listed
+	return !startedWithStore && !s.assured
+}
+
+// needsAssurance reports whether the node is unsure and its target not in use yet, also for
+// lack of a second heartbeat.
+func (s *state) needsAssurance() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unsure() && s.target.State(time.Now()) == dogwoodford.StateStarting
+}
+
+// departuresAnswer is what a node knows of the departures of another one's targets.
+type departuresAnswer struct {
+	UptimeMs   int64                 `json:"uptime_ms"`
+	Departures []dogtarget.Departure `json:"departures"`
+}
+
+// assure makes this node ask others, until ctx ends or it needs no assurance.
+func (p *peers) assure(ctx context.Context) error {
+	pause := minAssurancePause
+	for ctx.Err() == nil {
+		dogserve.Sleep(ctx, pause)
+		if !p.state.needsAssurance() {
+			return suture.ErrDoNotRestart
+		}
+		p.askDepartures(ctx)
+		pause = min(2*pause, dogdeparture.Interval(p.state.NodeCount()))
+	}
+	return ctx.Err()
+}
+
+// askDepartures asks some other nodes for the departures of this node's targets.
+func (p *peers) askDepartures(ctx context.Context) {
+	nodes := p.state.randomPeers(maxAssuringNodes)
+	parallel(len(nodes), func(i int) {
+		path := departurePath + "?node=" + url.QueryEscape(p.state.settings.Node)
+		data, err := p.request(ctx, http.MethodGet, nodes[i].Node, nodes[i].Peer, path, nil)
+		var answer departuresAnswer
+		if err == nil {
+			err = json.Unmarshal(data, &answer)
+		}
+		if err != nil {
+			p.log.event(doglog.DepartureNotSent, slog.String("peer", nodes[i].Node), doglog.Err(err))
+			return
+		}
+		p.state.recordDepartures(answer)
+	})
+}
+
+// recordDepartures records what another node knows of the departures of this one's targets.
+func (s *state) recordDepartures(a departuresAnswer) {
+	for _, d := range a.Departures {
+		s.takeDeparture(departureMessage{Node: s.settings.Node, Departure: d})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	uptime := time.Duration(a.UptimeMs) * time.Millisecond
+	if !s.assured && dogdeparture.Assures(uptime, time.Since(s.startedAt), s.fleet.Len()) {
+		s.assured = true
+		s.target.RequireConfirmation(false)
+		s.updateTargetState()
+	}
+}
+
+// serveDepartures answers askDepartures.
+func (p *peers) serveDepartures(w http.ResponseWriter, r *http.Request) {
+	if err := json.NewEncoder(w).Encode(p.state.knownDepartures(r.URL.Query().Get("node"))); err != nil {
+		p.log.event(doglog.DepartureNotSent, doglog.Err(err))
+	}
+}
+
+// knownDepartures returns what this node knows of the departures of another one's targets.
+func (s *state) knownDepartures(node string) departuresAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return departuresAnswer{UptimeMs: now.Sub(s.startedAt).Milliseconds(), Departures: s.departures.CopiesOf(now, node)}
+}
--- a/io/process/dogsidecar/departure.go
+++ b/io/process/dogsidecar/departure.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/thejerf/suture/v4"
 
 	"dogwoodford/core/process/dogdeparture"
 	"dogwoodford/core/process/dogtarget"
@@ -178,87 +175,6 @@
 	})
 }
 
-// assuranceInterval is the interval at which a node that started without the store asks other
-// nodes for its departures.
-const assuranceInterval = 200 * time.Millisecond
-
-// maxAssuringNodes is the number of nodes that it asks at a time.
-const maxAssuringNodes = 3
-
-// departuresAnswer is what a node knows of the departures of another one's targets.
-type departuresAnswer struct {
-	UptimeMs   int64                 `json:"uptime_ms"`
-	Departures []dogtarget.Departure `json:"departures"`
-}
-
-// assure makes this node ask others, until ctx ends or it knows what an earlier process of
-// it acknowledged.
-func (p *peers) assure(ctx context.Context) error {
-	for ctx.Err() == nil {
-		dogserve.Sleep(ctx, assuranceInterval)
-		if !p.state.isUnsure() {
-			return suture.ErrDoNotRestart
-		}
-		p.askDepartures(ctx)
-	}
-	return ctx.Err()
-}
-
-// askDepartures asks some other nodes for the departures of this node's targets.
-func (p *peers) askDepartures(ctx context.Context) {
-	nodes := p.state.randomPeers(maxAssuringNodes)
-	parallel(len(nodes), func(i int) {
-		path := departurePath + "?node=" + url.QueryEscape(p.state.settings.Node)
-		data, err := p.request(ctx, http.MethodGet, nodes[i].Node, nodes[i].Peer, path, nil)
-		var answer departuresAnswer
-		if err == nil {
-			err = json.Unmarshal(data, &answer)
-		}
-		if err != nil {
-			p.log.event(doglog.DepartureNotSent, slog.String("peer", nodes[i].Node), doglog.Err(err))
-			return
-		}
-		p.state.recordDepartures(answer)
-	})
-}
-
-// recordDepartures records what another node knows of the departures of this one's targets.
-func (s *state) recordDepartures(a departuresAnswer) {
-	for _, d := range a.Departures {
-		s.takeDeparture(departureMessage{Node: s.settings.Node, Departure: d})
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	uptime := time.Duration(a.UptimeMs) * time.Millisecond
-	if !s.assured && dogdeparture.Assures(uptime, time.Since(s.started), s.fleet.Len()) {
-		s.assured = true
-		s.target.RequireConfirmation(false)
-		s.updateTargetState()
-	}
-}
-
-// isUnsure is unsure for callers that do not hold s.mu.
-func (s *state) isUnsure() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.unsure()
-}
-
-// serveDepartures answers askDepartures.
-func (p *peers) serveDepartures(w http.ResponseWriter, r *http.Request) {
-	if err := json.NewEncoder(w).Encode(p.state.knownDepartures(r.URL.Query().Get("node"))); err != nil {
-		p.log.event(doglog.DepartureNotSent, doglog.Err(err))
-	}
-}
-
-// knownDepartures returns what this node knows of the departures of another one's targets.
-func (s *state) knownDepartures(node string) departuresAnswer {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	return departuresAnswer{UptimeMs: now.Sub(s.started).Milliseconds(), Departures: s.departures.CopiesOf(now, node)}
-}
-
 // receiveDeparture takes a departure from another node.
 func (p *peers) receiveDeparture(w http.ResponseWriter, r *http.Request) {
 	var m departureMessage
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -217,7 +217,7 @@
 		case addr := <-p.state.newerConfigs:
 			p.configs.pull(ctx, p, addr)
 			p.pullEntries(ctx, addr)
-			if p.state.isUnsure() {
+			if p.state.needsAssurance() {
 				p.askDepartures(ctx)
 			}
 			dogserve.Sleep(ctx, minPullInterval)
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -64,8 +64,8 @@
 	// listAttempts is the number of times that the entries were asked for until they were
 	// listed for the first time.
 	listAttempts int
-	assured      bool // Another node knows the departures that this one has acknowledged.
-	started      time.Time
+	assured      bool // Another node knows all departures that this one has acknowledged.
+	startedAt    time.Time
 }
 
 func newState(s Settings, log *logger, version func() int64) *state {
@@ -78,7 +78,7 @@
 			Service: s.Service, Address: s.Target, Silence: maxMissedHeartbeats * s.Heartbeat, Confirmation: s.Heartbeat / 2,
 		}),
 		departures: dogdeparture.New(),
-		started:    time.Now(),
+		startedAt:  time.Now(),
 		budget:     dogbudget.New(budgetOptions(s)),
 		pace:       dogpace.New(dogpace.Options{MinWait: configWait, Rand: newRand()}),
 		crashes: crashes{
@@ -92,7 +92,9 @@
 	s.mu.Lock()
 	before, _ := s.target.LastHeartbeat()
 	stateBefore := s.target.State(time.Now())
-	known, wasReady, wasRunning := stateBefore != dogwoodford.StateStarting, stateBefore == dogwoodford.StateReady, s.target.Running()
+	known := stateBefore != dogwoodford.StateStarting
+	wasReady := stateBefore == dogwoodford.StateReady
+	wasRunning := s.target.Running()
 	s.target.RequireConfirmation(s.unsure())
 	e := s.target.Observe(time.Now(), h)
 	if e == dogtarget.Accepted && known && wasRunning && (before.ID != h.ID || before.Born != h.Born) {
@@ -336,23 +338,6 @@
 	return h.Cold > 0
 }
 
-// entriesAsked counts the questions for the entries before the first answer.
-func (s *state) entriesAsked() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.listed {
-		s.listAttempts++
-	}
-}
-
-// unsure reports whether an earlier process of this node may have acknowledged what this one
-// doesn't know: the store did not answer its first question for the entries, and no other
-// node has helped out. The caller must hold s.mu.
-func (s *state) unsure() bool {
-	startedWithStore := s.listAttempts == 0 || s.listAttempts == 1 && s.listed
-	return !startedWithStore && !s.assured
-}
-
 func (s *state) setListed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
