Event 1822 names the target and who holds its departure

Cause: its line had "error":"<nil>" for departures that were acknowledged, and did not say which target departed.

Change: target, born and held (store, nodes or none) in place of copied and error.

--- a/io/process/dogsidecar/departure.go
+++ b/io/process/dogsidecar/departure.go
@@ -52,13 +52,20 @@
 func (s *state) keepDeparture(ctx context.Context) error {
 	start := time.Now()
 	copied, err := s.awaitKept(ctx, departureWriteTime)
+	d, _ := s.unstoredDeparture()
 	if err != nil {
-		d, _ := s.unstoredDeparture()
 		go s.copyDeparture(d)
 		copied, err = s.awaitKept(ctx, departureCopyTime)
 	}
-	s.log.event(doglog.DepartureAnswered, slog.Bool("copied", copied), slog.Int64("took_ms", time.Since(start).Milliseconds()),
-		doglog.Err(err))
+	keeper := "store"
+	switch {
+	case err != nil:
+		keeper = "none"
+	case copied:
+		keeper = "nodes"
+	}
+	s.log.event(doglog.DepartureAnswered, slog.String("target", d.ID), slog.Int64("born", d.Born), slog.String("held", keeper),
+		slog.Int64("took_ms", time.Since(start).Milliseconds()))
 	return err
 }
 
