dogsidecar: a heartbeat before the first list waits for that only

Callers saw: fewer requests served after a loss of power, from the rule on second heartbeats on.

Cause: after a loss of power a target starts with its node, and its first heartbeat comes before the store has answered the node's first question. That heartbeat had to be confirmed by a second one 1.5 s later, though the store answered within milliseconds.

Change: if the store answers the first question, a heartbeat that waits counts at once, with the ramp of a target that has started.

--- a/io/process/dogsidecar/assurance.go
+++ b/io/process/dogsidecar/assurance.go
@@ -36,8 +36,8 @@
 }
 
 // unsure reports whether an earlier process of this node may have acknowledged what this one
-// doesn't know: the store did not answer its first question for the entries, and no other
-// node has helped out. The caller must hold s.mu.
+// doesn't know: the store did not answer its first question for the entries, or has not yet,
+// and no other node has helped out. The caller must hold s.mu.
 func (s *state) unsure() bool {
 	startedWithStore := s.listAttempts == 0 || s.listAttempts == 1 && s.listed
 	return !startedWithStore && !s.assured
@@ -94,13 +94,32 @@
 	for _, d := range a.Departures {
 		s.takeDeparture(departureMessage{Node: s.settings.Node, Departure: d})
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	uptime := time.Duration(a.UptimeMs) * time.Millisecond
-	if !s.assured && dogdeparture.Assures(uptime, time.Since(s.startedAt), s.fleet.Len()) {
-		s.assured = true
-		s.target.RequireConfirmation(false)
-		s.updateTargetState()
+	s.mu.Lock()
+	s.assured = s.assured || dogdeparture.Assures(uptime, time.Since(s.startedAt), s.fleet.Len())
+	s.mu.Unlock()
+	s.endDoubt()
+}
+
+// endDoubt makes a heartbeat count that waits for its confirmation, if the node needs none
+// any more.
+func (s *state) endDoubt() {
+	s.mu.Lock()
+	if s.unsure() {
+		s.mu.Unlock()
+		return
+	}
+	waited := s.target.State(time.Now()) == dogwoodford.StateStarting
+	s.target.RequireConfirmation(false)
+	s.updateTargetState()
+	h, known := s.target.LastHeartbeat()
+	start, started := dogwoodford.Start{}, false
+	if waited && known {
+		start, started = s.startOf(dogtarget.Heartbeat{}, h, false, false)
+	}
+	s.mu.Unlock()
+	if started {
+		s.ramps.start(h.ID, start)
 	}
 }
 
--- a/io/process/dogsidecar/assurance_test.go
+++ b/io/process/dogsidecar/assurance_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// TestHeartbeatBeforeList guards against a node that waits for a second heartbeat though the
+// store answers, because the first one came before the answer to its first question: after a
+// loss of power a target and its node start at the same moment.
+func TestHeartbeatBeforeList(t *testing.T) {
+	for _, tc := range []struct {
+		questions int
+		ready     bool
+	}{{1, true}, {2, false}} {
+		s := testState(t, func() int64 { return 1 })
+		for range tc.questions {
+			s.entriesAsked()
+		}
+		receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
+		if _, reason := s.Current(); reason == dogwoodford.ReasonNone {
+			t.Errorf("%d questions: the target is used before an answer", tc.questions)
+		}
+		s.setListed()
+		if _, reason := s.Current(); (reason == dogwoodford.ReasonNone) != tc.ready {
+			t.Errorf("%d questions: after the answer %v, want ready %v", tc.questions, reason, tc.ready)
+		}
+	}
+}
+
 // TestAssurance guards against a node that starts without the store and uses a departed
 // target again, though another node keeps the departure, or that stays without its target
 // though one that has run all the while knows of none.
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -340,9 +340,10 @@
 
 func (s *state) setListed() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.listed = true
 	s.wakeAnnouncer()
+	s.mu.Unlock()
+	s.endDoubt()
 }
 
 func (s *state) isListed() bool {
