--- a/core/process/dogdeparture/ledger.go
+++ b/core/process/dogdeparture/ledger.go
@@ -35,9 +35,10 @@
 // of its departures, in addition to an interval. It exceeds the restart of a process.
 const assuranceMargin = 10 * time.Second
 
-// Assures reports whether a node that has run for peer received every departure that an
-// earlier process of a node acknowledged whose present process has run for own, in a fleet
-// of n nodes: the earlier process sent it in each round to all that ran.
+// Assures reports whether another node, whose process has run for peer, was sent every
+// departure that an earlier process of this node acknowledged; the present one has run for
+// own, in a fleet of n nodes. The earlier process sent its departure in each round to all
+// nodes that ran.
 func Assures(peer, own time.Duration, n int) bool { return peer-own >= Interval(n)+assuranceMargin }
 
 // Copy is a departure that is kept for the node beside whose target it happened.
