dogsidecar: a started node asks for copies before it uses its target

Callers saw: a few requests at a target whose departure had been acknowledged by copies.

Cause: a node that started while the store answered took its entry for all that there is to know, and copies come only with the next round of the others.

Change: each started node asks three others for copies once it has listed the entries, at most for 150 ms, before its target is used.

--- a/io/process/dogsidecar/assurance.go
+++ b/io/process/dogsidecar/assurance.go
@@ -14,15 +14,16 @@
 	"dogwoodford/core/process/dogdeparture"
 	"dogwoodford/core/process/dogtarget"
 	"dogwoodford/io/process/doglog"
-	"dogwoodford/io/process/dogserve"
 )
 
 const (
-	// minAssurancePause is the first pause between two questions of a node that started
-	// without the store to others for its departures. The pause doubles up to the interval
-	// of messages about departures.
+	// minAssurancePause is the first pause between two questions of a started node to
+	// others for its departures. The pause doubles up to the interval of messages about
+	// departures.
 	minAssurancePause = 200 * time.Millisecond
-	// maxAssuringNodes is the number of nodes that it asks at a time.
+	// assuranceTimeout bounds the wait for the answers of one round.
+	assuranceTimeout = 150 * time.Millisecond
+	// maxAssuringNodes is the number of nodes that are asked at a time.
 	maxAssuringNodes = 3
 )
 
@@ -36,12 +37,8 @@
 }
 
 // unsure reports whether an earlier process of this node may have acknowledged what this one
-// doesn't know: the store did not answer its first question for the entries, or has not yet,
-// and no other node has helped out. The caller must hold s.mu.
-func (s *state) unsure() bool {
-	startedWithStore := s.listAttempts == 0 || s.listAttempts == 1 && s.listed
-	return !startedWithStore && !s.assured
-}
+// doesn't know yet. The caller must hold s.mu.
+func (s *state) unsure() bool { return s.listAttempts > 0 && !s.assured }
 
 // needsAssurance reports whether the node is unsure and its target not in use yet, also for
 // lack of a second heartbeat.
@@ -57,15 +54,28 @@
 	Departures []dogtarget.Departure `json:"departures"`
 }
 
-// assure makes this node ask others, until ctx ends or it needs no assurance.
+// assure makes this node ask others for its departures, until ctx ends or it needs no
+// assurance. If the store answered its first question, one round behind that answer is
+// enough: the store holds all departures but the last ones, of which the others have copies.
 func (p *peers) assure(ctx context.Context) error {
-	pause := minAssurancePause
+	pause, listed := minAssurancePause, p.state.firstListed
 	for ctx.Err() == nil {
-		dogserve.Sleep(ctx, pause)
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-listed:
+			listed = nil
+		}
+		t.Stop()
+		othersKnown := p.state.startedWithStore()
+		p.askDepartures(ctx)
+		if othersKnown {
+			p.state.endDoubt()
+		}
 		if !p.state.needsAssurance() {
 			return suture.ErrDoNotRestart
 		}
-		p.askDepartures(ctx)
 		pause = min(2*pause, dogdeparture.Interval(p.state.NodeCount()))
 	}
 	return ctx.Err()
@@ -73,6 +83,8 @@
 
 // askDepartures asks some other nodes for the departures of this node's targets.
 func (p *peers) askDepartures(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, assuranceTimeout)
+	defer cancel()
 	nodes := p.state.randomPeers(maxAssuringNodes)
 	parallel(len(nodes), func(i int) {
 		path := departurePath + "?node=" + url.QueryEscape(p.state.settings.Node)
@@ -96,19 +108,25 @@
 	}
 	uptime := time.Duration(a.UptimeMs) * time.Millisecond
 	s.mu.Lock()
-	s.assured = s.assured || dogdeparture.Assures(uptime, time.Since(s.startedAt), s.fleet.Len())
+	assured := dogdeparture.Assures(uptime, time.Since(s.startedAt), s.fleet.Len())
 	s.mu.Unlock()
-	s.endDoubt()
+	if assured {
+		s.endDoubt()
+	}
 }
 
-// endDoubt makes a heartbeat count that waits for its confirmation, if the node needs none
-// any more.
+// startedWithStore reports whether the store answered the first question for the entries.
+func (s *state) startedWithStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed && s.listAttempts == 1
+}
+
+// endDoubt records that the node knows the departures that it has acknowledged. A heartbeat
+// that waits for its confirmation counts then.
 func (s *state) endDoubt() {
 	s.mu.Lock()
-	if s.unsure() {
-		s.mu.Unlock()
-		return
-	}
+	s.assured = true
 	waited := s.target.State(time.Now()) == dogwoodford.StateStarting
 	s.target.RequireConfirmation(false)
 	s.updateTargetState()
@@ -116,6 +134,7 @@
 	start, started := dogwoodford.Start{}, false
 	if waited && known {
 		start, started = s.startOf(dogtarget.Heartbeat{}, h, false, false)
+		start.Alone = s.waitingAlone
 	}
 	s.mu.Unlock()
 	if started {
--- a/io/process/dogsidecar/assurance_test.go
+++ b/io/process/dogsidecar/assurance_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/thejerf/suture/v4"
+
 	"dogwoodford"
 	"dogwoodford/core/process/dogdeparture"
 	"dogwoodford/core/process/dogtarget"
@@ -36,6 +39,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
 			go func() { done <- s.newEntryWatcher(f).Serve(ctx) }()
+			go func() { _ = (&peers{state: s, log: s.log}).assure(ctx) }() // Ends before ctx or with it.
 			time.Sleep(2 * time.Second)
 			n, reason := 0, dogwoodford.ReasonNoTarget
 			for ; n < 5 && reason != dogwoodford.ReasonNone; n++ {
@@ -61,18 +65,51 @@
 		questions int
 		ready     bool
 	}{{1, true}, {2, false}} {
-		s := testState(t, func() int64 { return 1 })
-		for range tc.questions {
-			s.entriesAsked()
-		}
-		receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
-		if _, reason := s.Current(); reason == dogwoodford.ReasonNone {
-			t.Errorf("%d questions: the target is used before an answer", tc.questions)
-		}
-		s.setListed()
-		if _, reason := s.Current(); (reason == dogwoodford.ReasonNone) != tc.ready {
-			t.Errorf("%d questions: after the answer %v, want ready %v", tc.questions, reason, tc.ready)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			s := testState(t, func() int64 { return 1 })
+			for range tc.questions {
+				s.entriesAsked()
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- (&peers{state: s, log: s.log}).assure(ctx) }()
+			receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
+			if _, reason := s.Current(); reason == dogwoodford.ReasonNone {
+				t.Errorf("%d questions: the target is used before an answer", tc.questions)
+			}
+			s.setListed()
+			synctest.Wait()
+			if _, reason := s.Current(); (reason == dogwoodford.ReasonNone) != tc.ready {
+				t.Errorf("%d questions: after the answer %v, want ready %v", tc.questions, reason, tc.ready)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+// TestCopiesBeforeFirstUse guards against a node that uses its departed target for a moment
+// after a start, though the store answers: it holds the entry from before the departure, and
+// the nodes with copies return it only with their next round.
+func TestCopiesBeforeFirstUse(t *testing.T) {
+	departure := dogtarget.Departure{ID: "i-1", Born: 100}
+	other, entry := newDepartureNode(t, "rounds-2")
+	other.state.departures.Keep(time.Now(), dogdeparture.Copy{Node: "rounds-1", Departure: departure})
+	own, ownEntry := newDepartureNode(t, "rounds-1")
+	s := own.state
+	s.entriesAsked()
+	s.put(entry, 1)
+	s.put(ownEntry, 2)
+	s.setListed()
+	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 9, Slots: 4})
+	if _, reason := s.Current(); reason == dogwoodford.ReasonNone {
+		t.Error("the target is used before the others were asked")
+	}
+	if err := own.assure(t.Context()); !errors.Is(err, suture.ErrDoNotRestart) {
+		t.Errorf("error %v, want %v", err, suture.ErrDoNotRestart)
+	}
+	if got := s.target.State(time.Now()); got != dogwoodford.StateDraining {
+		t.Errorf("state %v after the others were asked, want %v", got, dogwoodford.StateDraining)
 	}
 }
 
--- a/io/process/dogsidecar/ramp_test.go
+++ b/io/process/dogsidecar/ramp_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -73,22 +72,49 @@
 	}
 }
 
+// rampState returns the state of a node whose ramps start at a recording gate.
+func rampState(t *testing.T) (*state, *rampGate, *doggate.Gate) {
+	t.Helper()
+	s := testState(t, func() int64 { return 0 })
+	gate := &rampGate{Admission: dogadmit.New(dogadmit.Options{Slots: 40, Rand: newRand(), Ramp: true})}
+	g := doggate.NewGate(gate)
+	s.setSlots = g.SetSlots
+	s.ramps = &rampMonitor{gate: g, log: s.log, metrics: dogmetric.NewSet()}
+	return s, gate, g
+}
+
+// putOther puts another target of the service into the view, which has been ready.
+func putOther(s *state) {
+	s.put(dogfleet.Entry{
+		Node: "rounds-2", Service: "rounds", Peer: "10.0.0.2:81", State: dogwoodford.StateReady, Slots: 40,
+	}, 1)
+}
+
+// TestRampOfWaitingTarget guards against a service that starts far too slowly after a loss of
+// power of all machines: each node takes the entries from before it, which it lists behind the
+// first heartbeat of its target, for others that have been ready, and holds its target down.
+func TestRampOfWaitingTarget(t *testing.T) {
+	s, gate, _ := rampState(t)
+	s.entriesAsked()
+	receiveHeartbeat(s, dogtarget.Heartbeat{
+		ID: "a", Service: "rounds", Address: "10.0.0.1:80", Born: time.Now().UnixMilli(), Sequence: 1, Slots: 40,
+	})
+	putOther(s)
+	s.setListed()
+	s.endDoubt()
+	if diff := cmp.Diff([]dogwoodford.Start{{Fresh: true, Alone: true}}, gate.starts); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+}
+
 // startsAfter returns the starts that a node sees in heartbeats, and whether the limit is
 // held down after the last one. other tells whether another target of the service has
 // been ready.
 func startsAfter(t *testing.T, other bool, beats []beat) ([]dogwoodford.Start, bool) {
 	t.Helper()
-	log := newLogger(io.Discard, "rounds-1")
-	defer log.close()
-	s := newState(testSettings(), log, func() int64 { return 0 })
-	gate := &rampGate{Admission: dogadmit.New(dogadmit.Options{Slots: 40, Rand: newRand(), Ramp: true})}
-	g := doggate.NewGate(gate)
-	s.setSlots = g.SetSlots
-	s.ramps = &rampMonitor{gate: g, log: log, metrics: dogmetric.NewSet()}
+	s, gate, g := rampState(t)
 	if other {
-		s.fleet.Put(time.Now(), dogfleet.Entry{
-			Node: "rounds-2", Service: "rounds", Peer: "10.0.0.2:81", State: dogwoodford.StateReady, Slots: 40,
-		}, 1)
+		putOther(s)
 	}
 	begin := time.Now()
 	for i, b := range beats {
--- a/io/process/dogsidecar/state.go
+++ b/io/process/dogsidecar/state.go
@@ -33,6 +33,7 @@
 	settings     Settings
 	log          *logger
 	written      chan versionedEntry    // Receives the node's own entry to send to the others.
+	firstListed  chan struct{}          // Closed when the entries were listed for the first time.
 	keptChanged  chan struct{}          // Closed when the store or another node may keep the last departure.
 	entryChanged chan struct{}          // Receives a value when the node's own entry may have changed.
 	newerConfigs chan string            // Receives the peer address of a node with a newer configuration.
@@ -64,13 +65,16 @@
 	// listAttempts is the number of times that the entries were asked for until they were
 	// listed for the first time.
 	listAttempts int
-	assured      bool // Another node knows all departures that this one has acknowledged.
+	assured      bool // The departures that this node has acknowledged are known to it.
 	startedAt    time.Time
+	// waitingAlone is the result of aloneInService at the heartbeat that waits for its
+	// confirmation. The entries that are listed after it may be from before a loss of power.
+	waitingAlone bool
 }
 
 func newState(s Settings, log *logger, version func() int64) *state {
 	return &state{
-		settings: s, log: log, version: version, keptChanged: make(chan struct{}), written: make(chan versionedEntry, 1),
+		settings: s, log: log, version: version, keptChanged: make(chan struct{}), firstListed: make(chan struct{}), written: make(chan versionedEntry, 1),
 		entryChanged: make(chan struct{}, 1), newerConfigs: make(chan string, 1),
 		reports: make(chan []dogcrash.Report, maxWaitingReports),
 		fleet:   dogfleet.New(), silence: dogfleet.NewSilenceDetector(), aliveContexts: make(aliveContexts),
@@ -102,6 +106,9 @@
 	}
 	s.updateTargetState()
 	departed := s.target.HasDeparted(h.ID, h.Born)
+	if e == dogtarget.Accepted && s.target.State(time.Now()) == dogwoodford.StateStarting {
+		s.waitingAlone = s.aloneInService(time.Now())
+	}
 	start, started := dogwoodford.Start{}, false
 	if e == dogtarget.Accepted {
 		start, started = s.startOf(before, h, known, wasReady)
@@ -340,10 +347,12 @@
 
 func (s *state) setListed() {
 	s.mu.Lock()
-	s.listed = true
+	defer s.mu.Unlock()
+	if !s.listed {
+		s.listed = true
+		close(s.firstListed)
+	}
 	s.wakeAnnouncer()
-	s.mu.Unlock()
-	s.endDoubt()
 }
 
 func (s *state) isListed() bool {
