dogsidecar: a slow start doesn't skip the question to the others

Cause: found by reading. The questions to other nodes ended if the store had not been asked within the first pause, as on a machine that is short of processor time. The target then waited for a second heartbeat.

Change: they end only once the departures are known or the target is in use.

Measured: TestSlowStart failed before ("assured false") and passes now; dogsidecar passes with the race detector.

--- a/io/process/dogsidecar/assurance.go
+++ b/io/process/dogsidecar/assurance.go
@@ -40,12 +40,12 @@
 // doesn't know yet. The caller must hold s.mu.
 func (s *state) unsure() bool { return s.listAttempts > 0 && !s.assured }
 
-// needsAssurance reports whether the node is unsure and its target not in use yet, also for
-// lack of a second heartbeat.
+// needsAssurance reports whether the node does not know its departures and its target is not
+// in use yet, also for lack of a second heartbeat.
 func (s *state) needsAssurance() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unsure() && s.target.State(time.Now()) == dogwoodford.StateStarting
+	return !s.assured && s.target.State(time.Now()) == dogwoodford.StateStarting
 }
 
 // departuresAnswer is what a node knows of the departures of another one's targets.
--- a/io/process/dogsidecar/assurance_test.go
+++ b/io/process/dogsidecar/assurance_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// TestSlowStart guards against a node that never asks the others, because its first question
+// to the store is late: the process gets little time when it starts.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testState(t, func() int64 { return 1 })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error)
+		go func() { done <- (&peers{state: s, log: s.log}).assure(ctx) }()
+		time.Sleep(2 * minAssurancePause)
+		s.entriesAsked()
+		s.setListed()
+		if err := <-done; !errors.Is(err, suture.ErrDoNotRestart) || !s.assured {
+			t.Errorf("assured %v, error %v; want true and the end of the questions", s.assured, err)
+		}
+	})
+}
+
 // TestCopiesBeforeFirstUse guards against a node that uses its departed target for a moment
 // after a start, though the store answers: it holds the entry from before the departure, and
 // the nodes with copies return it only with their next round.
