dogsidecar: others have the entry before a departure is acknowledged

Callers saw: four requests at targets whose departure had been acknowledged. The new process could not read its entry, no other node had been sent it yet, and one that had run all the while vouched for what it knew, which was nothing.

Cause: a departure was acknowledged once the store held it, and the entry was sent to the others afterwards. A node that starts while the store is away can only ask others.

Change: an entry with a new departure is sent to the others before the departure is acknowledged, at most for 150 ms, and a node that is asked for copies also tells the departure of the entry that it knows.

Measured: TestStoredDeparture failed before (the other node tells nothing) and passes now; dogsidecar passes with the race detector.

--- a/io/process/dogsidecar/announce.go
+++ b/io/process/dogsidecar/announce.go
@@ -27,6 +27,9 @@
 	// before this is written to the entry. Other nodes learn of shorter
 	// failures from refusals, without writes.
 	failureAnnounceDelay = 3 * time.Second
+	// entrySendTime bounds the time for which the acknowledgement of a departure waits for
+	// other nodes to take the entry that has it.
+	entrySendTime = 150 * time.Millisecond
 )
 
 // announcer keeps the node's own entry in the store up to date.
@@ -34,6 +37,8 @@
 	state *state
 	store dogwoodford.Store
 	log   *logger
+	// sendEntry sends the entry to the other nodes, at most for entrySendTime.
+	sendEntry func(ctx context.Context, v versionedEntry)
 
 	failedSince time.Time
 }
@@ -89,8 +94,14 @@
 	}
 	a.log.event(doglog.EntryWritten, slog.String("state", want.State.String()), slog.Int64("revision", next),
 		slog.Int64("before", version))
+	written := versionedEntry{Entry: want, Version: next}
+	if want.Departed != have.Departed {
+		// The store may be away when this node starts again, and the others must know
+		// the departure by then: it is acknowledged as soon as the entry is recorded.
+		a.sendEntry(ctx, written)
+	}
 	a.state.put(want, next)
-	a.state.entryWritten(versionedEntry{Entry: want, Version: next})
+	a.state.entryWritten(written)
 	return nil
 }
 
--- a/io/process/dogsidecar/assurance.go
+++ b/io/process/dogsidecar/assurance.go
@@ -154,5 +154,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	return departuresAnswer{UptimeMs: now.Sub(s.startedAt).Milliseconds(), Departures: s.departures.CopiesOf(now, node)}
+	known := s.departures.CopiesOf(now, node)
+	if e, _, ok := s.fleet.Entry(node); ok && e.Departed.ID != "" {
+		known = append(known, e.Departed)
+	}
+	return departuresAnswer{UptimeMs: now.Sub(s.startedAt).Milliseconds(), Departures: known}
 }
--- a/io/process/dogsidecar/assurance_test.go
+++ b/io/process/dogsidecar/assurance_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/thejerf/suture/v4"
 
 	"dogwoodford"
@@ -88,6 +89,33 @@
 	}
 }
 
+// TestStoredDeparture guards against a departure that is acknowledged while only the store
+// holds it, which may be away when the node starts again: the others get the entry first, and
+// tell a node that asks.
+func TestStoredDeparture(t *testing.T) {
+	departure := dogtarget.Departure{ID: "i-1", Born: 100}
+	other, otherEntry := newDepartureNode(t, "rounds-2")
+	own, _ := newDepartureNode(t, "rounds-1")
+	s := own.state
+	s.put(otherEntry, 1)
+	s.setListed()
+	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
+	s.MarkLeaving("i-1")
+	a := &announcer{state: s, store: newFakeStore(), log: s.log, sendEntry: func(ctx context.Context, v versionedEntry) {
+		if _, unstored := s.unstoredDeparture(); !unstored {
+			t.Error("the departure can be acknowledged before the others were told")
+		}
+		own.sendEntry(ctx, v)
+	}}
+	if err := a.write(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	got := other.state.knownDepartures("rounds-1").Departures
+	if diff := cmp.Diff([]dogtarget.Departure{departure}, got); diff != "" {
+		t.Errorf("departures that the other node tells (-want +got):\n%s", diff)
+	}
+}
+
 // TestSlowStart guards against a node that never asks the others, because its first question
 // to the store is late: the process gets little time when it starts.
 func TestSlowStart(t *testing.T) {
--- a/io/process/dogsidecar/broadcast.go
+++ b/io/process/dogsidecar/broadcast.go
@@ -96,6 +96,13 @@
 	return ctx.Err()
 }
 
+// sendEntry sends an entry of this node to all others at once, at most for entrySendTime.
+func (p *peers) sendEntry(ctx context.Context, v versionedEntry) {
+	ctx, cancel := context.WithTimeout(ctx, entrySendTime)
+	defer cancel()
+	p.broadcast(ctx, entryPath, v, doglog.EntryNotSent, nil)
+}
+
 // entryWritten makes sendEntries send an entry, in place of an earlier one that still
 // waits.
 func (s *state) entryWritten(v versionedEntry) {
--- a/io/process/dogsidecar/broadcast_test.go
+++ b/io/process/dogsidecar/broadcast_test.go
@@ -32,7 +32,7 @@
 	go func() { done <- sender.sendEntries(ctx) }()
 	receiveHeartbeat(a, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	store := newFakeStore()
-	if err := (&announcer{state: a, store: store, log: a.log}).write(t.Context()); err != nil {
+	if err := (&announcer{state: a, store: store, log: a.log, sendEntry: ignoreEntry}).write(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	known := func() bool {
--- a/io/process/dogsidecar/departure_test.go
+++ b/io/process/dogsidecar/departure_test.go
@@ -226,7 +226,7 @@
 			s.setListed()
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
-			go func() { done <- (&announcer{state: s, store: f, log: s.log}).Serve(ctx) }()
+			go func() { done <- (&announcer{state: s, store: f, log: s.log, sendEntry: ignoreEntry}).Serve(ctx) }()
 			if !depart(s) {
 				t.Errorf("%s: not kept", name)
 			}
--- a/io/process/dogsidecar/run.go
+++ b/io/process/dogsidecar/run.go
@@ -151,7 +151,7 @@
 	}
 	n.state.probeAlive = n.peers.isAlive
 	n.state.copyDeparture = func(d dogtarget.Departure) { n.peers.copyDeparture(context.Background(), d) }
-	n.announce = &announcer{state: n.state, store: store, log: n.log}
+	n.announce = &announcer{state: n.state, store: store, log: n.log, sendEntry: n.peers.sendEntry}
 	gate := doggate.NewGate(dogadmit.New(dogadmit.Options{
 		Slots: initialSlots, Rand: newRand(), ExemptChildCalls: true, Ramp: rampLimit,
 	}))
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -136,6 +136,9 @@
 // leaveTarget makes the target leave, likewise.
 func leaveTarget(s *state, id string) { _ = s.Leave(context.Background(), id) }
 
+// ignoreEntry is the sendEntry of an announcer without other nodes.
+func ignoreEntry(context.Context, versionedEntry) {}
+
 func waitLong() time.Duration { return entriesWait }
 
 // TestWatchRestartsAfterMissedChange guards against a watch that never recovers
@@ -211,7 +214,7 @@
 func TestAnnounce(t *testing.T) {
 	s := testState(t, func() int64 { return 1 })
 	f := newFakeStore()
-	a := &announcer{state: s, store: f, log: s.log}
+	a := &announcer{state: s, store: f, log: s.log, sendEntry: ignoreEntry}
 	beat := dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4}
 	var got []string
 	record := func(what string) {
@@ -258,7 +261,7 @@
 	f := newFakeStore()
 	f.revision = 6
 	f.objects["rounds-1"] = dogwoodford.Object{Name: "rounds-1", Version: 6, Value: []byte(`{"node":"rounds-1","state":2}`)}
-	a := &announcer{state: s, store: f, log: s.log}
+	a := &announcer{state: s, store: f, log: s.log, sendEntry: ignoreEntry}
 	s.setListed()
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	if err := a.write(t.Context()); err == nil {
