--- /dev/null
+++ b/review/stand-3/rig/worker.go
@@ -0,0 +1,163 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Run is one request that a worker began to work on.
+type Run struct {
+	At                           time.Time
+	Worker, ID, Method, Path     string
+	Caller, Workspace, KeyHeader string
+	Body                         string
+}
+
+// Worker is a stand-in for an application worker.
+type Worker struct {
+	ID      string
+	Machine *Machine
+	Rec     *Record
+	Slots   int
+	// Answer, if set, answers a request in place of the usual answer.
+	Answer func(w http.ResponseWriter, r *http.Request, body []byte)
+
+	born     int64
+	mu       sync.Mutex
+	sequence int64
+	state    string
+	runs     []Run
+	srv      *http.Server
+	stop     chan struct{}
+}
+
+// Start makes the worker listen and send heartbeats.
+func (w *Worker) Start() error {
+	ln, err := net.Listen("tcp", w.Machine.App())
+	if err != nil {
+		return err
+	}
+	w.born, w.state, w.stop = time.Now().UnixMilli(), "ready", make(chan struct{})
+	w.srv = &http.Server{Handler: w}
+	go w.srv.Serve(ln)
+	go w.beat()
+	return nil
+}
+
+// Close ends the worker.
+func (w *Worker) Close() {
+	close(w.stop)
+	w.srv.Close()
+}
+
+const heartbeat = 1500 * time.Millisecond
+
+func (w *Worker) beat() {
+	for {
+		w.Beat()
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// Beat sends one heartbeat and reports whether it was acknowledged.
+func (w *Worker) Beat() bool {
+	w.mu.Lock()
+	w.sequence++
+	body, _ := json.Marshal(map[string]any{
+		"address": w.Machine.App(), "born": w.born,
+		"info":   map[string]any{"service": w.Machine.Service, "version": "v1", "zone": w.Machine.Zone, "slots": w.Slots},
+		"status": map[string]any{"state": w.state, "sequence": w.sequence, "coldRemaining": "0ms"},
+	})
+	state := w.state
+	w.mu.Unlock()
+	url := "http://" + w.Machine.Control() + "/dogwoodford/instances/" + w.ID
+	req, _ := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	req.Header.Set("Content-Type", "application/json")
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Do(req)
+	if err != nil {
+		w.Rec.Printf("worker %s: heartbeat %s: %v", w.ID, state, err)
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	w.Rec.Printf("worker %s: heartbeat %s: %d", w.ID, state, resp.StatusCode)
+	return resp.StatusCode/100 == 2
+}
+
+// SetState sets the state of later heartbeats.
+func (w *Worker) SetState(s string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = s
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.ID {
+		rw.Header().Set("Instance-Id", w.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" {
+		rw.Header().Set("Instance-Id", w.ID)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	if id == "" {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // Broken off before it was read, so that it does not run.
+	}
+	run := Run{
+		At: time.Now(), Worker: w.ID, ID: id, Method: r.Method, Path: r.RequestURI, Caller: r.Header.Get("Caller-Service"),
+		Workspace: r.Header.Get("Tenant"), KeyHeader: r.Header.Get("Credential"), Body: string(body),
+	}
+	w.mu.Lock()
+	w.runs = append(w.runs, run)
+	w.mu.Unlock()
+	w.Rec.Printf("worker %s: runs %s %s %s, body of %d bytes, caller %q, tenant %q", w.ID, id, run.Method, run.Path, len(body), run.Caller, run.Workspace)
+	rw.Header().Set("Attempt-Id", id)
+	if w.Answer != nil {
+		w.Answer(rw, r, body)
+		return
+	}
+	w.Sealed(rw, id, http.StatusOK, "answer to "+id+"\n")
+}
+
+// Sealed writes an answer with its seal.
+func (w *Worker) Sealed(rw http.ResponseWriter, id string, status int, body string) {
+	rw.Header().Set("Attempt-Id", id)
+	rw.Header().Set("Response-Seal", Seal(id, status, body))
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rw.WriteHeader(status)
+	io.WriteString(rw, body)
+}
+
+// Seal returns the signature of an answer.
+func Seal(id string, status int, body string) string {
+	return fmt.Sprintf("%08x", crc32.ChecksumIEEE([]byte(fmt.Sprintf("%s %d %s", id, status, body))))
+}
+
+// Runs returns the requests that the worker began to work on.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
