--- a/review/stand-3/rig/node.go
+++ b/review/stand-3/rig/node.go
@@ -57,6 +57,7 @@
 	Contracts               string
 	Program                 string
 	Dir                     string // For the settings and the log.
+	Advertised              string // Address for other machines; empty if it is that of the node.
 	Rec                     *Record
 
 	mu  sync.Mutex
@@ -93,6 +94,9 @@
 		"platform.address=" + m.Store, "platform.form=objects", "platform.writesPerS=400", "platform.readsPerS=2000",
 		"platform.history=20s", "platform.maxValueBytes=1048576", "platform.minTtl=1000ms",
 	}
+	if m.Advertised != "" {
+		lines = append(lines, "listen.advertised="+m.Advertised)
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
