--- a/review/stand-3/rig/worker.go
+++ b/review/stand-3/rig/worker.go
@@ -27,6 +27,7 @@
 	Machine *Machine
 	Rec     *Record
 	Slots   int
+	Work    time.Duration // Time that a request takes.
 	// Answer, if set, answers a request in place of the usual answer.
 	Answer func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -34,6 +35,7 @@
 	mu       sync.Mutex
 	sequence int64
 	state    string
+	leaving  bool // Has said that it leaves.
 	runs     []Run
 	srv      *http.Server
 	stop     chan struct{}
@@ -54,7 +56,11 @@
 
 // Close ends the worker.
 func (w *Worker) Close() {
-	close(w.stop)
+	select {
+	case <-w.stop:
+	default:
+		close(w.stop)
+	}
 	w.srv.Close()
 }
 
@@ -71,29 +77,59 @@
 	}
 }
 
-// Beat sends one heartbeat and reports whether it was acknowledged.
-func (w *Worker) Beat() bool {
+// Heartbeat is a heartbeat that may be under way for some time.
+type Heartbeat struct {
+	state string
+	body  []byte
+}
+
+// Prepare returns the next heartbeat.
+func (w *Worker) Prepare() Heartbeat {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"address": w.Machine.App(), "born": w.born,
 		"info":   map[string]any{"service": w.Machine.Service, "version": "v1", "zone": w.Machine.Zone, "slots": w.Slots},
 		"status": map[string]any{"state": w.state, "sequence": w.sequence, "coldRemaining": "0ms"},
 	})
-	state := w.state
+	return Heartbeat{w.state, body}
+}
+
+// Beat sends one heartbeat and reports whether it was acknowledged.
+func (w *Worker) Beat() bool { return w.Deliver(w.Prepare()) }
+
+// Deliver makes a heartbeat arrive and reports whether it was acknowledged.
+func (w *Worker) Deliver(h Heartbeat) bool {
+	return w.report(http.MethodPut, "heartbeat "+h.state, h.body)
+}
+
+// Leave says that the worker leaves, from then on sends no further heartbeats, and reports whether that was
+// acknowledged. The worker goes on to serve.
+func (w *Worker) Leave() bool {
+	w.mu.Lock()
+	if !w.leaving {
+		close(w.stop)
+	}
+	w.leaving = true
 	w.mu.Unlock()
+	body, _ := json.Marshal(map[string]any{"born": w.born})
+	return w.report(http.MethodDelete, "leave", body)
+}
+
+func (w *Worker) report(method, what string, body []byte) bool {
 	url := "http://" + w.Machine.Control() + "/dogwoodford/instances/" + w.ID
-	req, _ := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	req, _ := http.NewRequest(method, url, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	c := http.Client{Timeout: time.Second}
 	resp, err := c.Do(req)
 	if err != nil {
-		w.Rec.Printf("worker %s: heartbeat %s: %v", w.ID, state, err)
+		w.Rec.Printf("worker %s: %s: %v", w.ID, what, err)
 		return false
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, resp.Body)
-	w.Rec.Printf("worker %s: heartbeat %s: %d", w.ID, state, resp.StatusCode)
+	_, _ = io.Copy(io.Discard, resp.Body) // The status is the acknowledgement.
+	w.Rec.Printf("worker %s: %s: %d", w.ID, what, resp.StatusCode)
 	return resp.StatusCode/100 == 2
 }
 
@@ -106,6 +142,13 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	leaving := w.leaving
+	w.mu.Unlock()
+	if leaving {
+		rw.Header().Set("Server-Leaving", "1")
+		rw.Header().Set("Connection", "close")
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.ID {
 		rw.Header().Set("Instance-Id", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -113,6 +156,9 @@
 	}
 	if r.URL.Path == "/health" {
 		rw.Header().Set("Instance-Id", w.ID)
+		if leaving {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
@@ -134,6 +180,7 @@
 	w.mu.Unlock()
 	w.Rec.Printf("worker %s: runs %s %s %s, body of %d bytes, caller %q, tenant %q", w.ID, id, run.Method, run.Path, len(body), run.Caller, run.Workspace)
 	rw.Header().Set("Attempt-Id", id)
+	time.Sleep(w.Work)
 	if w.Answer != nil {
 		w.Answer(rw, r, body)
 		return
