--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-3/smuggle ] && [ -x target/dogwoodford ] || { echo "build the program and review/build-3.sh first" >&2; exit 2; }
-exec target/review-3/smuggle target/dogwoodford review/12/record.txt
+[ -x target/review-3/nocontent ] && [ -x target/dogwoodford ] || { echo "build the program and review/build-3.sh first" >&2; exit 2; }
+exec target/review-3/nocontent target/dogwoodford review/12/record.txt
--- a/review/stand-3/departure/main.go
+++ b/review/stand-3/departure/main.go
@@ -1,8 +1,8 @@
 // Command departure shows that a worker that has left is used again after all nodes were killed,
 // if the platform's store came back from a copy before, in a drill.
 //
-// With TROUBLE=kill there is no drill, and with TROUBLE=outage the store is away, and loses
-// nothing, from before the leave until just before the nodes start again.
+// With TROUBLE=kill there is a kill only. With TROUBLE=outage the store loses nothing, but is away
+// from before the leave until just before the nodes start again.
 package main
 
 import (
@@ -18,9 +18,9 @@
 const (
 	// drain and contact are bounds of the rule.
 	drain, contact = 2 * time.Second, 3 * time.Second
-	// untilDrill, untilAgain, untilKill and untilHeartbeat are the times from the leave to the
-	// drill, from there to the repeated leave, from there to the kill, and from the start of the
-	// nodes to the late heartbeat.
+	// untilDrill and untilAgain are the times from the leave to the drill, and from there to the
+	// repeated leave. untilKill is the time from the last leave to the kill, and untilHeartbeat
+	// that from the start of the nodes to the late heartbeat.
 	untilDrill, untilAgain, untilKill = 500 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond
 	untilHeartbeat                    = 3200 * time.Millisecond
 	// work is the time that a request takes, that of round-sheet on the site.
@@ -60,6 +60,7 @@
 	w := f.Workers[0]
 	mode := os.Getenv("TROUBLE")
 	outage := mode == "outage"
+	drill := env.Trouble && !outage && mode != "kill"
 	if outage {
 		f.Store.Leave()
 		time.Sleep(untilLeave)
@@ -69,15 +70,15 @@
 		return false, errors.New("the leave was not acknowledged")
 	}
 	acknowledged := time.Now()
-	time.Sleep(untilDrill)
-	if env.Trouble && mode != "kill" && !outage {
+	if drill {
+		time.Sleep(untilDrill)
 		f.Store.Leave()
 		time.Sleep(away)
 		f.Store.Restore(kept)
-	}
-	time.Sleep(untilAgain)
-	if !outage && !w.Leave() { // What the workers wrote is written again.
-		return false, errors.New("the second leave was not acknowledged")
+		time.Sleep(untilAgain)
+		if !w.Leave() { // What the workers wrote is written again.
+			return false, errors.New("the second leave was not acknowledged")
+		}
 	}
 	time.Sleep(untilKill)
 	if env.Trouble {
