--- a/review/stand-3/era/main.go
+++ b/review/stand-3/era/main.go
@@ -14,10 +14,10 @@
 	// revoke is the bound of the rule, and watched the time behind it in which requests with
 	// the revoked key are sent.
 	revoke, watched = 5 * time.Second, 10 * time.Second
-	// untilFirst, untilSecond and untilDrill are the times from the copy to the first change of
+	// untilFirst, untilAnother and untilDrill are the times from the copy to the first change of
 	// the configuration, from there to the second one, and from there to the drill. They make
 	// up the age of the copy.
-	untilFirst, untilSecond, untilDrill = time.Second, 500 * time.Millisecond, time.Second
+	untilFirst, untilAnother, untilDrill = time.Second, 500 * time.Millisecond, time.Second
 	// away is the time for which the store is away.
 	away = 200 * time.Millisecond
 	// untilRewritten is the time until the operator has written again what the store lost, and
@@ -68,7 +68,7 @@
 	f.Workers[2].Beat()
 	time.Sleep(untilFirst)
 	op.write(7, keptKey, revokedKey)
-	time.Sleep(untilSecond)
+	time.Sleep(untilAnother)
 	op.write(9, keptKey, revokedKey)
 	time.Sleep(untilDrill)
 	if env.Trouble {
--- a/review/stand-3/misdirected/main.go
+++ b/review/stand-3/misdirected/main.go
@@ -69,6 +69,11 @@
 	}
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
+	return judge(env.Rec, f, replies), nil
+}
+
+// judge compares what ran with what clients were answered.
+func judge(rec *rig.Record, f *rig.Fleet, replies map[string]rig.Reply) (broken bool) {
 	runs := make(map[string]int)
 	for _, w := range f.Raw {
 		for _, r := range w.Runs() {
@@ -81,14 +86,14 @@
 			served++
 		}
 		if runs[id] > 1 {
-			env.Rec.Printf("BROKEN, TWICE: %s ran %d times, answer %d", id, runs[id], r.Status)
+			rec.Printf("BROKEN, TWICE: %s ran %d times, answer %d", id, runs[id], r.Status)
 			broken = true
 		}
 		if runs[id] > 0 && (r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests) {
-			env.Rec.Printf("BROKEN, REFUSED: %s ran and was answered %d", id, r.Status)
+			rec.Printf("BROKEN, REFUSED: %s ran and was answered %d", id, r.Status)
 			broken = true
 		}
 	}
-	env.Rec.Printf("%d of %d requests were served", served, len(replies))
-	return broken, nil
+	rec.Printf("%d of %d requests were served", served, len(replies))
+	return broken
 }
