--- a/review/stand-3/misdirected/main.go
+++ b/review/stand-3/misdirected/main.go
@@ -16,13 +16,13 @@
 
 const (
 	// perSecond is the number of requests a second, and length the time for which they come.
-	perSecond = 100
+	perSecond = 150
 	length    = 12 * time.Second
 	// faulty is the machine whose worker spoils answers, one of two of its service. troubleAt
 	// and troubleFor are when it does, and spoiled is the share of its answers.
 	faulty                = 0
 	troubleAt, troubleFor = 3 * time.Second, 5 * time.Second
-	spoiled               = 0.02
+	spoiled               = 0.03
 	work                  = 100 * time.Millisecond
 )
 
