dogrelay: an answer that is broken off is logged and counted

Cause: a node that could not write an answer whole aborted the connection without a line in its log, so that callers saw a closed connection and nobody could say why. A client that has left is not logged.

--- a/io/request/dogrelay/entry.go
+++ b/io/request/dogrelay/entry.go
@@ -40,7 +40,9 @@
 	}
 	h.logLate(ctx, c, res)
 	h.recordDeparture(ctx, c != nil && c.attempt > 0, entrySent, entryUnsent)
-	res.write(ctx, w, h.cfg.Headers.Attempt, id)
+	if err := res.write(ctx, w, h.cfg.Headers.Attempt, id); err != nil {
+		h.breakOff(r, err)
+	}
 	h.cfg.Metrics.Observe(dogmetric.EntryLatency, time.Since(start))
 }
 
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -21,12 +21,12 @@
 	c, err := h.parseCall(r, time.Now().Add(-h.lag()))
 	if err != nil {
 		h.cfg.Log.Event(r.Context(), doglog.PeerCallRejected, doglog.Err(err))
-		h.reply(w, refused(dogwoodford.ReasonBadRequest, 0))
+		h.reply(w, r, refused(dogwoodford.ReasonBadRequest, 0))
 		return
 	}
 	defer h.release()
 	if !h.acquire() {
-		h.reply(w, h.refuseFull(c))
+		h.reply(w, r, h.refuseFull(c))
 		return
 	}
 	if a, err := parseAdvice(r.Header); err == nil {
@@ -38,11 +38,11 @@
 	// the entry leaves.
 	dogpipeline.BoundBody(r.Context(), c.deadline)
 	if c.body, err = h.buffers.read(r.Body, r.ContentLength); err != nil {
-		h.reply(w, refused(dogwoodford.ReasonCancelled, 0))
+		h.reply(w, r, refused(dogwoodford.ReasonCancelled, 0))
 		return
 	}
 	defer c.body.free()
-	h.reply(w, h.guardCall(r.Context(), c))
+	h.reply(w, r, h.guardCall(r.Context(), c))
 }
 
 // refuseFull refuses a call because the node is at its bound of requests in
@@ -61,13 +61,25 @@
 // progress as its memory allows. A good part of them has ended by then.
 const fullRetryAfter = time.Second
 
-func (h *Handlers) reply(w http.ResponseWriter, res *result) {
+func (h *Handlers) reply(w http.ResponseWriter, r *http.Request, res *result) {
 	defer res.discard()
 	if res.outcome == dogwoodford.OutcomeRan {
 		h.advised.of(h.cfg.Node).format(w.Header())
 	}
 	h.formatFresh(w.Header())
-	res.writePeer(w, h.cfg.Tables.Version())
+	if err := res.writePeer(w, h.cfg.Tables.Version()); err != nil {
+		h.breakOff(r, err)
+	}
+}
+
+// breakOff aborts the connection of r, as the answer could not be written whole because of
+// err.
+func (h *Handlers) breakOff(r *http.Request, err error) {
+	if r.Context().Err() == nil { // The client has not left.
+		h.cfg.Metrics.Add(dogmetric.TruncatedAnswers, 1)
+		h.cfg.Log.Event(r.Context(), doglog.AnswerTruncated, idAttr(r.Header.Get(h.cfg.Headers.Attempt)), doglog.Err(err))
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // guardCall queues a call and sends it to the local target. The result carries
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"strconv"
@@ -104,8 +105,9 @@
 	return http.StatusBadGateway
 }
 
-// write sends r from the entry to the caller.
-func (r *result) write(ctx context.Context, w http.ResponseWriter, attemptHeader, id string) {
+// write sends r from the entry to the caller. After an error the response must not look
+// complete.
+func (r *result) write(ctx context.Context, w http.ResponseWriter, attemptHeader, id string) error {
 	out := w.Header()
 	if r.outcome != dogwoodford.OutcomeRan {
 		if id != "" {
@@ -119,14 +121,14 @@
 		}
 		out["Content-Length"] = []string{"0"}
 		w.WriteHeader(status)
-		return
+		return nil
 	}
-	r.writeAnswer(w)
+	return r.writeAnswer(w)
 }
 
-// writeAnswer sends the response of the target. If the body is cut short, it
-// aborts the connection, because a truncated response must not look complete.
-func (r *result) writeAnswer(w http.ResponseWriter) {
+// writeAnswer sends the response of the target. After an error the response must not look
+// complete.
+func (r *result) writeAnswer(w http.ResponseWriter) error {
 	out := w.Header()
 	maps.Copy(out, r.header)
 	if _, ok := out["Content-Type"]; !ok {
@@ -137,8 +139,9 @@
 	}
 	w.WriteHeader(r.status)
 	if err := r.body.writeTo(w); err != nil && err != http.ErrBodyNotAllowed {
-		panic(http.ErrAbortHandler)
+		return fmt.Errorf("send answer: %w", err)
 	}
+	return nil
 }
 
 func hasBody(status int) bool {
@@ -150,15 +153,16 @@
 	return strconv.FormatFloat(max(0, d).Seconds(), 'f', 3, 64)
 }
 
-// writePeer sends r from the guard to the entry.
-func (r *result) writePeer(w http.ResponseWriter, version int64) {
+// writePeer sends r from the guard to the entry. After an error the response must not look
+// complete.
+func (r *result) writePeer(w http.ResponseWriter, version int64) error {
 	out := w.Header()
 	formatAnswer(out, r, version)
 	if r.outcome != dogwoodford.OutcomeRan {
 		out["Content-Length"] = []string{"0"}
 		// Entries read headerAnswer and ignore this status.
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return nil
 	}
-	r.writeAnswer(w)
+	return r.writeAnswer(w)
 }
