dogrelay, dogpipeline: an answer without a body reaches its caller

Callers saw each answer of the status 204 or 304, and each to HEAD, end with a closed connection, or 502 if the target was beside another node, though its request had run. One that must not run twice could not be repeated; an idempotent one ran at two targets and failed all the same.

Cause: both hops write the body of an answer also if it has none. dogpipeline's response writer rejected that empty write with http.ErrBodyNotAllowed, where net/http lets it pass. writeTo wrapped the error, so that the comparison with != in writeAnswer, which was to let it pass, never held, and the connection was aborted.

Change, at both places: the relay does not write a body that is empty, so that there is no error to let pass; the response writer accepts what net/http's accepts: empty writes, and the body of an answer to HEAD, which it drops. A body for a status without one stays an error. Beside it: the Content-Length of an answer to HEAD, which became 0, and that of 304, which was dropped, pass unchanged.

Related paths: requests without a body, answers with an empty one, bytes behind an answer without one, and the other kind of node (doghttp, faults.txtar) were tried and hold. Of the other comparisons of errors with == or != all compare what the reader, the context or the system call itself returned, unwrapped: io.EOF of Read and Token, ctx.Err(), EINTR; recovered panics are http.ErrAbortHandler itself.

--- a/io/connection/dogpipeline/response.go
+++ b/io/connection/dogpipeline/response.go
@@ -153,7 +153,7 @@
 	h := r.header
 	delete(h, "Transfer-Encoding")
 	switch {
-	case r.status == http.StatusNoContent || r.status == http.StatusNotModified || r.status < http.StatusOK:
+	case r.status == http.StatusNoContent || r.status < http.StatusOK:
 		delete(h, "Content-Length")
 	case h.Get("Content-Length") != "":
 		n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
@@ -161,7 +161,7 @@
 			return fmt.Errorf("content length %q: %w", h.Get("Content-Length"), errFraming)
 		}
 		r.length = n
-	case r.req.Method == http.MethodHead:
+	case !r.hasBody():
 	case !r.req.ProtoAtLeast(1, 1):
 		// The body ends with the connection, as HTTP/1.0 knows no chunks.
 		r.length = -1
@@ -176,18 +176,20 @@
 // errFraming means that a handler wrote a body of another length than it declared.
 var errFraming = errors.New("length of the response body does not match")
 
-// Write implements http.ResponseWriter.
+// Write implements http.ResponseWriter. As with package net/http, an empty write does
+// nothing, and the body of a response to HEAD is dropped.
 func (r *response) Write(p []byte) (int, error) {
 	r.WriteHeader(http.StatusOK)
 	switch {
 	case r.err != nil:
 		return 0, r.err
-	case !r.hasBody():
+	case len(p) == 0:
+		return 0, nil // An empty chunk would end the body.
+	case !allowsBody(r.status):
 		return 0, http.ErrBodyNotAllowed
+	case r.req.Method == http.MethodHead:
+		return len(p), nil
 	case r.chunks != nil:
-		if len(p) == 0 {
-			return 0, nil // An empty chunk would end the body.
-		}
 		n, err := r.chunks.Write(p)
 		r.err = err
 		return n, err
@@ -200,9 +202,11 @@
 	return n, err
 }
 
-func (r *response) hasBody() bool {
-	return r.req.Method != http.MethodHead && r.status >= http.StatusOK && r.status != http.StatusNoContent &&
-		r.status != http.StatusNotModified
+func (r *response) hasBody() bool { return r.req.Method != http.MethodHead && allowsBody(r.status) }
+
+// allowsBody reports whether responses with this status may have a body.
+func allowsBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // complete ends the response. It returns an error if the connection cannot be used any
--- a/io/request/doghttp/fake_test.go
+++ b/io/request/doghttp/fake_test.go
@@ -302,6 +302,10 @@
 	"short":           "200 OK\r\nContent-Length: 10\r\n\r\npart",
 	"chunk-cut":       "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
 	"long-cut":        "200 OK\r\nContent-Length: 100000\r\n\r\npart",
+	"no-content":      "204 No Content\r\n\r\n",
+	"not-modified":    "304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+	"head":            "200 OK\r\nContent-Length: 9\r\n\r\n",
+	"empty-chunks":    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"unframed":        "200 OK\r\n\r\nperhaps all",
 }
 
--- a/io/request/dogrelay/broken_test.go
+++ b/io/request/dogrelay/broken_test.go
@@ -39,13 +39,7 @@
 // neither on the hop, nor on its place on the connection, nor on what comes behind it.
 func sendToBroken(t *testing.T, w []string) string {
 	t.Helper()
-	for i := range w {
-		text, err := strconv.Unquote(`"` + strings.TrimPrefix(w[i], "-") + `"`)
-		if err != nil {
-			t.Fatal(err)
-		}
-		w[i] = text
-	}
+	unescape(t, w)
 	var got []string
 	for _, b := range []broken{{}, {later: true}, {closes: true}, {later: true, closes: true}, {fromNode: true}, {fromNode: true, later: true, closes: true}} {
 		b.answer = rawAnswer(w[0], w[1], w[2])
@@ -57,6 +51,18 @@
 	return strings.Join(slices.Compact(got), " | ")
 }
 
+// unescape replaces the escapes in words; "-" stands for nothing.
+func unescape(t *testing.T, words []string) {
+	t.Helper()
+	for i := range words {
+		text, err := strconv.Unquote(`"` + strings.TrimPrefix(words[i], "-") + `"`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		words[i] = text
+	}
+}
+
 // rawAnswer returns an answer with the fields that entries and guards need.
 func rawAnswer(start, fields, body string) rawResponse {
 	h := make(http.Header)
--- a/io/request/dogrelay/guard.go
+++ b/io/request/dogrelay/guard.go
@@ -222,7 +222,7 @@
 		h.cfg.Local.MarkFailed(t.ID)
 		notRun = true
 	}
-	b, err := h.buffers.read(resp.Body, resp.ContentLength)
+	b, err := h.buffers.readAnswer(resp)
 	if err != nil {
 		_ = resp.Body.Close()
 		if notRun {
--- a/io/request/dogrelay/result.go
+++ b/io/request/dogrelay/result.go
@@ -134,20 +134,16 @@
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil // Otherwise net/http would guess one.
 	}
-	if r.body.length >= 0 && hasBody(r.status) {
+	if r.body.length >= 0 && r.status != http.StatusNoContent {
 		out["Content-Length"] = []string{strconv.FormatInt(r.body.length, 10)}
 	}
 	w.WriteHeader(r.status)
-	if err := r.body.writeTo(w); err != nil && err != http.ErrBodyNotAllowed {
+	if err := r.body.writeTo(w); err != nil {
 		return fmt.Errorf("send answer: %w", err)
 	}
 	return nil
 }
 
-func hasBody(status int) bool {
-	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // seconds formats a duration in seconds, with three decimal places.
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(max(0, d).Seconds(), 'f', 3, 64)
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -219,7 +219,7 @@
 		res.mayHaveArrived = res.outcome == dogwoodford.OutcomeUnknown || res.reason == dogwoodford.ReasonTargetShed
 		return res
 	}
-	b, err := h.buffers.read(resp.Body, resp.ContentLength)
+	b, err := h.buffers.readAnswer(resp)
 	if err != nil {
 		_ = resp.Body.Close()
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
