--- a/core/process/dogfleet/doc.go
+++ b/core/process/dogfleet/doc.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	f := dogfleet.New()
-//	f.Put(now, entry, version)
+//	f.Put(now, entry, revision)
 //	f.MarkUnreachable(now, "rounds-2", silent)
 //	targets := f.Targets(now)
 //	for _, e := range f.Probes(now) {
--- a/core/process/dogfleet/fleet.go
+++ b/core/process/dogfleet/fleet.go
@@ -75,22 +75,22 @@
 // member is the state of one node.
 type member struct {
 	entry      Entry
-	version    int64         // Version of the entry in the store.
-	readySince time.Time     // Assumed time at which the target became ready.
-	down       time.Time     // Time at which the node became unreachable; zero if reachable.
-	probeAt    time.Time     // Time of the next probe.
-	backoff    time.Duration // Time between the last failure and the next probe.
-	silent     bool          // No response at all. A refused connection shows that the machine runs.
+	revision   dogwoodford.Revision // Of the entry in the store.
+	readySince time.Time            // Assumed time at which the target became ready.
+	down       time.Time            // Time at which the node became unreachable; zero if reachable.
+	probeAt    time.Time            // Time of the next probe.
+	backoff    time.Duration        // Time between the last failure and the next probe.
+	silent     bool                 // No response at all. A refused connection shows that the machine runs.
 }
 
 // New returns an empty view.
 func New() *Fleet { return &Fleet{members: make(map[string]*member)} }
 
-// Put records an entry of the store. Versions that are not newer than the known
+// Put records an entry of the store. Entries of revisions that are not later than the known
 // one are ignored. It reports whether the entry was recorded.
-func (f *Fleet) Put(now time.Time, e Entry, version int64) bool {
+func (f *Fleet) Put(now time.Time, e Entry, revision dogwoodford.Revision) bool {
 	m := f.members[e.Node]
-	if m != nil && version <= m.version {
+	if m != nil && revision.Compare(m.revision) <= 0 {
 		return false
 	}
 	isNew := m == nil || m.entry.Peer != e.Peer
@@ -104,7 +104,7 @@
 			m.readySince = now.Add(-warmAge)
 		}
 	}
-	m.entry, m.version = e, version
+	m.entry, m.revision = e, revision
 	f.targets = nil
 	if isNew {
 		f.generation++
@@ -122,7 +122,7 @@
 	for name, other := range f.members {
 		switch {
 		case other == m || other.entry.Peer != m.entry.Peer:
-		case other.version < m.version:
+		case other.revision.Compare(m.revision) < 0:
 			f.MarkUnreachable(now, name, false)
 		default:
 			f.MarkUnreachable(now, m.entry.Node, false)
@@ -131,13 +131,21 @@
 }
 
 // Remove removes a node whose entry was removed from the store at the given
-// version.
-func (f *Fleet) Remove(name string, version int64) {
-	if m := f.members[name]; m != nil && version > m.version {
-		delete(f.members, name)
-		f.targets = nil
-		f.generation++
+// revision.
+func (f *Fleet) Remove(name string, revision dogwoodford.Revision) {
+	if m := f.members[name]; m != nil && revision.Compare(m.revision) > 0 {
+		f.Forget(name)
+	}
+}
+
+// Forget removes a node until its entry changes.
+func (f *Fleet) Forget(name string) {
+	if f.members[name] == nil {
+		return
 	}
+	delete(f.members, name)
+	f.targets = nil
+	f.generation++
 }
 
 // Retain removes all nodes that are not in names, which holds the nodes of a
@@ -145,20 +153,18 @@
 func (f *Fleet) Retain(names []string) {
 	for name := range f.members {
 		if !slices.Contains(names, name) {
-			delete(f.members, name)
-			f.targets = nil
-			f.generation++
+			f.Forget(name)
 		}
 	}
 }
 
-// Entry returns the entry of a node and its version; false if there is none.
-func (f *Fleet) Entry(name string) (Entry, int64, bool) {
+// Entry returns the entry of a node and its revision; false if there is none.
+func (f *Fleet) Entry(name string) (Entry, dogwoodford.Revision, bool) {
 	m := f.members[name]
 	if m == nil {
-		return Entry{}, 0, false
+		return Entry{}, dogwoodford.Revision{}, false
 	}
-	return m.entry, m.version, true
+	return m.entry, m.revision, true
 }
 
 // Len returns the number of known nodes.
@@ -221,11 +227,11 @@
 }
 
 // Stale returns the names of the nodes that have been unreachable for so long
-// that their entries should be removed, with the versions of the entries. It
+// that their entries should be removed, with the revisions of the entries. It
 // returns none while half of the nodes or more are unreachable, because then
 // this node itself is probably isolated.
-func (f *Fleet) Stale(now time.Time) map[string]int64 {
-	out := make(map[string]int64)
+func (f *Fleet) Stale(now time.Time) map[string]dogwoodford.Revision {
+	out := make(map[string]dogwoodford.Revision)
 	down := 0
 	for name, m := range f.members {
 		if m.down.IsZero() {
@@ -233,7 +239,7 @@
 		}
 		down++
 		if now.Sub(m.down) >= removeAfter {
-			out[name] = m.version
+			out[name] = m.revision
 		}
 	}
 	if 2*down >= len(f.members) {
--- a/core/process/dogfleet/fleet_test.go
+++ b/core/process/dogfleet/fleet_test.go
@@ -63,22 +63,15 @@
 		t.Fatal(err)
 	}
 	now := time.Unix(0, 0).Add(at)
-	number := func(s string) int64 {
-		n, err := strconv.ParseInt(s, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return n
-	}
 	switch w[1] {
-	case "put": // Node, service, state, version and address, which is the node by default.
+	case "put": // Node, service, state, revision and address, which is the node by default.
 		peer := w[2]
 		if len(w) > 6 {
 			peer = w[6]
 		}
-		f.Put(now, Entry{Node: w[2], Service: w[3], State: states[w[4]], Peer: peer}, number(w[5]))
+		f.Put(now, Entry{Node: w[2], Service: w[3], State: states[w[4]], Peer: peer}, revision(t, w[5]))
 	case "remove":
-		f.Remove(w[2], number(w[3]))
+		f.Remove(w[2], revision(t, w[3]))
 	case "keep":
 		f.Retain(w[2:])
 	case "unreachable":
@@ -92,6 +85,21 @@
 	return show(f, now)
 }
 
+// revision returns the revision of a number, or of an era and a number with a slash between.
+func revision(t *testing.T, text string) dogwoodford.Revision {
+	t.Helper()
+	era, number, found := strings.Cut(text, "/")
+	if !found {
+		era, number = "0", text
+	}
+	n, err := strconv.ParseInt(number, 10, 64)
+	e, eraErr := strconv.ParseInt(era, 10, 64)
+	if err != nil || eraErr != nil {
+		t.Fatal(err, eraErr)
+	}
+	return dogwoodford.NewRevision(e, n)
+}
+
 func show(f *Fleet, now time.Time) string {
 	var targets, probes, stale []string
 	for _, x := range f.Targets(now) {
@@ -125,7 +133,7 @@
 			f := New()
 			now := time.Unix(0, 0)
 			for i := range n {
-				f.Put(now, Entry{Node: fmt.Sprint(i), Service: fmt.Sprint(i % 29), State: dogwoodford.StateReady}, 1)
+				f.Put(now, Entry{Node: fmt.Sprint(i), Service: fmt.Sprint(i % 29), State: dogwoodford.StateReady}, dogwoodford.NewRevision(1, 1))
 			}
 			for b.Loop() {
 				f.MarkUnreachable(now, "1", false)
@@ -154,7 +162,7 @@
 		{dogwoodford.StateReady, true, 0},
 	} {
 		now = now.Add(time.Second)
-		f.Put(now, Entry{Node: "a", Service: "s", Peer: "p", State: tc.state, Cold: tc.cold}, int64(i+1))
+		f.Put(now, Entry{Node: "a", Service: "s", Peer: "p", State: tc.state, Cold: tc.cold}, dogwoodford.NewRevision(1, int64(i+1)))
 		got := time.Duration(-1)
 		if targets := f.Targets(now); len(targets) > 0 {
 			got = now.Sub(targets[0].ReadySince)
@@ -197,17 +205,19 @@
 		change func()
 		want   bool
 	}{
-		{func() { f.Put(now, Entry{Node: "a", Peer: "1"}, 1) }, true},
-		{func() { f.Put(now, Entry{Node: "a", Peer: "1", State: dogwoodford.StateReady}, 2) }, false},
+		{func() { f.Put(now, Entry{Node: "a", Peer: "1"}, dogwoodford.NewRevision(1, 1)) }, true},
+		{func() {
+			f.Put(now, Entry{Node: "a", Peer: "1", State: dogwoodford.StateReady}, dogwoodford.NewRevision(1, 2))
+		}, false},
 		{func() { f.MarkUnreachable(now, "a", false) }, false},
 		{func() { f.MarkUnreachable(now, "a", true) }, true},
 		{func() { f.MarkUnreachable(now, "a", true) }, false},
 		{func() { f.MarkReachable("a") }, true},
 		{func() { f.MarkUnreachable(now, "a", false) }, false},
 		{func() { f.MarkReachable("a") }, false},
-		{func() { f.Put(now, Entry{Node: "a", Peer: "2"}, 3) }, true},
+		{func() { f.Put(now, Entry{Node: "a", Peer: "2"}, dogwoodford.NewRevision(1, 3)) }, true},
 		{func() { f.Retain([]string{"a"}) }, false},
-		{func() { f.Remove("a", 4) }, true},
+		{func() { f.Remove("a", dogwoodford.NewRevision(1, 4)) }, true},
 	} {
 		before := f.Generation()
 		if tc.change(); (f.Generation() != before) != tc.want {
--- a/core/process/dogfleet/service_test.go
+++ b/core/process/dogfleet/service_test.go
@@ -14,10 +14,10 @@
 // cannot be reached, and one of another service.
 func serviceFleet(at time.Time) *Fleet {
 	f := New()
-	f.Put(at, Entry{Node: "a", Service: "s", State: dogwoodford.StateReady}, 1)
-	f.Put(at, Entry{Node: "b", Service: "s", State: dogwoodford.StateDraining}, 2)
-	f.Put(at, Entry{Node: "c", Service: "s", State: dogwoodford.StateReady}, 3)
-	f.Put(at, Entry{Node: "d", Service: "other", State: dogwoodford.StateReady}, 4)
+	f.Put(at, Entry{Node: "a", Service: "s", State: dogwoodford.StateReady}, dogwoodford.NewRevision(1, 1))
+	f.Put(at, Entry{Node: "b", Service: "s", State: dogwoodford.StateDraining}, dogwoodford.NewRevision(1, 2))
+	f.Put(at, Entry{Node: "c", Service: "s", State: dogwoodford.StateReady}, dogwoodford.NewRevision(1, 3))
+	f.Put(at, Entry{Node: "d", Service: "other", State: dogwoodford.StateReady}, dogwoodford.NewRevision(1, 4))
 	f.MarkUnreachable(at, "c", false)
 	return f
 }
--- a/io/process/doglog/events.go
+++ b/io/process/doglog/events.go
@@ -136,6 +136,7 @@
 	DepartureAnswered = define(1822, "departure-answered", slog.LevelInfo)
 	DepartureNotSent  = define(1823, "departure-not-sent", slog.LevelInfo)
 	DepartureRestored = define(1824, "departure-restored", slog.LevelWarn)
+	StoreRestored     = define(1825, "store-restored", slog.LevelWarn)
 	KeysUntrusted     = define(1820, "keys-untrusted", slog.LevelError)
 	KeysTrusted       = define(1821, "keys-trusted", slog.LevelInfo)
 	LenderLost        = define(1830, "lender-lost", slog.LevelWarn)
--- a/io/process/dogsidecar/announce.go
+++ b/io/process/dogsidecar/announce.go
@@ -78,8 +78,8 @@
 	if !a.state.isListed() || want.State == dogwoodford.StateStarting || a.failedBriefly(want.State) {
 		return nil
 	}
-	have, version := a.state.storedEntry()
-	if version > 0 && have.Equal(want) {
+	have, before := a.state.storedEntry()
+	if !before.IsZero() && have.Equal(want) {
 		return nil
 	}
 	value, err := json.Marshal(want)
@@ -88,13 +88,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	next, err := a.store.Put(ctx, targetKind, want.Node, version, value)
+	next, err := a.store.Put(ctx, targetKind, want.Node, before, value)
 	if err != nil {
-		return fmt.Errorf("write entry at revision %d: %w", version, err)
+		return fmt.Errorf("write entry at revision %s: %w", before, err)
 	}
-	a.log.event(doglog.EntryWritten, slog.String("state", want.State.String()), slog.Int64("revision", next),
-		slog.Int64("before", version))
-	written := versionedEntry{Entry: want, Version: next}
+	a.log.event(doglog.EntryWritten, slog.String("state", want.State.String()), slog.Any("revision", next),
+		slog.Any("before", before))
+	written := newVersionedEntry(want, next)
 	if want.Departed != have.Departed {
 		// The store may be away when this node starts again, and the others must know
 		// the departure by then: it is acknowledged as soon as the entry is recorded.
@@ -120,8 +120,8 @@
 // otherwise it writes to the entry that the node is draining.
 func (a *announcer) withdraw(ctx context.Context) error {
 	want := a.state.entry()
-	_, version := a.state.storedEntry()
-	if version == 0 {
+	_, revision := a.state.storedEntry()
+	if revision.IsZero() {
 		return nil
 	}
 	if want.State != dogwoodford.StateLeft {
@@ -129,9 +129,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := a.store.Delete(ctx, targetKind, want.Node, version)
+	err := a.store.Delete(ctx, targetKind, want.Node, revision)
 	if err != nil && !errors.Is(err, dogwoodford.ErrNotFound) {
-		return fmt.Errorf("remove entry at revision %d: %w", version, err)
+		return fmt.Errorf("remove entry at revision %s: %w", revision, err)
 	}
 	return nil
 }
--- a/io/process/dogsidecar/assurance_test.go
+++ b/io/process/dogsidecar/assurance_test.go
@@ -97,7 +97,7 @@
 	other, otherEntry := newDepartureNode(t, "rounds-2")
 	own, _ := newDepartureNode(t, "rounds-1")
 	s := own.state
-	s.put(otherEntry, 1)
+	s.put(otherEntry, rev(1))
 	s.setListed()
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
 	s.MarkLeaving("i-1")
@@ -144,8 +144,8 @@
 	own, ownEntry := newDepartureNode(t, "rounds-1")
 	s := own.state
 	s.entriesAsked()
-	s.put(entry, 1)
-	s.put(ownEntry, 2)
+	s.put(entry, rev(1))
+	s.put(ownEntry, rev(2))
 	s.setListed()
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 9, Slots: 4})
 	if _, reason := s.Current(); reason == dogwoodford.ReasonNone {
@@ -183,7 +183,7 @@
 		own, _ := newDepartureNode(t, "rounds-1")
 		own.state.entriesAsked()
 		receiveHeartbeat(own.state, beat)
-		own.state.put(entry, 1)
+		own.state.put(entry, rev(1))
 		own.askDepartures(t.Context())
 		if got := own.state.target.State(time.Now()); got != tc.state || own.state.needsAssurance() != (tc.state == dogwoodford.StateStarting) {
 			t.Errorf("%s: state %v, needs assurance %v; want %v", tc.name, got, own.state.needsAssurance(), tc.state)
--- a/io/process/dogsidecar/broadcast.go
+++ b/io/process/dogsidecar/broadcast.go
@@ -121,5 +121,5 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	p.state.put(v.Entry, v.Version)
+	p.state.putFromNode(v)
 }
--- a/io/process/dogsidecar/broadcast_test.go
+++ b/io/process/dogsidecar/broadcast_test.go
@@ -23,7 +23,7 @@
 	b.settings.Node = "rounds-2"
 	receiver := httptest.NewServer((&peers{state: b, configs: &configs{}, log: b.log}).handler())
 	defer receiver.Close()
-	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
+	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, rev(1))
 	a.setListed()
 	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second})
 	sender := &peers{state: a, transport: transport, kept: transport, log: a.log}
@@ -38,8 +38,8 @@
 	known := func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		e, version, _ := b.fleet.Entry("rounds-1")
-		return e.State == dogwoodford.StateReady && version == store.revision
+		e, revision, _ := b.fleet.Entry("rounds-1")
+		return e.State == dogwoodford.StateReady && revision == rev(store.revision)
 	}
 	for end := time.Now().Add(5 * time.Second); !known() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
@@ -57,20 +57,24 @@
 	s := testState(t, func() int64 { return 1 })
 	p := &peers{state: s, configs: &configs{}, log: s.log}
 	for _, tc := range []struct {
-		body    string
-		status  int
-		version int64 // Of the entry of depot-1 afterwards.
+		body     string
+		status   int
+		revision dogwoodford.Revision // Of the entry of depot-1 afterwards.
 	}{
-		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":7}`, http.StatusOK, 7},
-		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":5}`, http.StatusOK, 7},
-		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:99999","slots":4},"version":9}`, http.StatusBadRequest, 7},
-		{`{"entry":{"node":"rounds-1","service":"rounds","peer":"10.0.0.2:81","slots":4},"version":9}`, http.StatusBadRequest, 7},
-		{`{"entry":`, http.StatusBadRequest, 7},
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":7}`, http.StatusOK, rev(7)},
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":5}`, http.StatusOK, rev(7)},
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:99999","slots":4},"version":9}`, http.StatusBadRequest, rev(7)},
+		{`{"entry":{"node":"rounds-1","service":"rounds","peer":"10.0.0.2:81","slots":4},"version":9}`, http.StatusBadRequest, rev(7)},
+		{`{"entry":`, http.StatusBadRequest, rev(7)},
+		// The store came back from a copy; nodes of earlier builds do not say so.
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":5,"era":2}`, http.StatusOK, dogwoodford.NewRevision(2, 5)},
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":8,"era":1}`, http.StatusOK, dogwoodford.NewRevision(2, 5)},
+		{`{"entry":{"node":"depot-1","service":"depot","peer":"10.0.0.2:81","slots":4},"version":6}`, http.StatusOK, dogwoodford.NewRevision(2, 6)},
 	} {
 		w := httptest.NewRecorder()
 		p.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, entryPath, strings.NewReader(tc.body)))
-		if _, version, _ := s.fleet.Entry("depot-1"); w.Code != tc.status || version != tc.version {
-			t.Errorf("%s: status %d, version %d; want %d and %d", tc.body, w.Code, version, tc.status, tc.version)
+		if _, revision, _ := s.fleet.Entry("depot-1"); w.Code != tc.status || revision != tc.revision {
+			t.Errorf("%s: status %d, revision %s; want %d and %s", tc.body, w.Code, revision, tc.status, tc.revision)
 		}
 	}
 }
--- a/io/process/dogsidecar/crash_test.go
+++ b/io/process/dogsidecar/crash_test.go
@@ -67,8 +67,8 @@
 			Node: node, Service: "rounds", State: dogwoodford.StateReady,
 			Crashes: []dogcrash.Report{{ID: node + "/1", Digests: []uint64{7}}},
 		}
-		s.put(e, int64(2*i+1))
-		s.put(e, int64(2*i+2))
+		s.put(e, rev(int64(2*i+1)))
+		s.put(e, rev(int64(2*i+2)))
 	}
 	if left := s.QuarantineRemaining(dogcrash.Content{Shared: 17, Own: 7}); left < 10*time.Second {
 		t.Errorf("quarantined for %v, want at least 10 s", left)
@@ -124,7 +124,7 @@
 				{ID: name + "/1", Digests: []uint64{7}}, {ID: name + "/shared/1", Digests: []uint64{17}, Shared: true},
 				{ID: name + "/shared/2", Digests: []uint64{17}, Shared: true},
 			},
-		}, int64(i+1))
+		}, rev(int64(i+1)))
 	}
 	return s
 }
@@ -137,7 +137,7 @@
 		Node: "rounds-1", Service: "rounds", State: dogwoodford.StateReady,
 		Crashes: []dogcrash.Report{{ID: "rounds-1/99/1", Digests: []uint64{7}}, {ID: "rounds-1/99/2", Digests: []uint64{7}}},
 	}
-	s.put(stored, 1)
+	s.put(stored, rev(1))
 	s.setListed()
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
 	if diff := cmp.Diff(stored.Crashes, s.entry().Crashes); diff != "" {
@@ -151,7 +151,7 @@
 	a, b := testState(t, func() int64 { return 1 }), testState(t, func() int64 { return 1 })
 	receiver := httptest.NewServer((&peers{state: b, configs: &configs{}, log: b.log}).handler())
 	defer receiver.Close()
-	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
+	a.put(dogfleet.Entry{Node: "rounds-2", Peer: receiver.Listener.Addr().String(), State: dogwoodford.StateReady}, rev(1))
 	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, DialTimeout: time.Second})
 	sender := &peers{state: a, transport: transport, kept: transport, log: a.log}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/io/process/dogsidecar/departure_test.go
+++ b/io/process/dogsidecar/departure_test.go
@@ -34,7 +34,7 @@
 		receiveHeartbeat(before, beat)
 		depart(before)
 		after := testState(t, func() int64 { return 1 })
-		after.put(before.entry(), 7)
+		after.put(before.entry(), rev(7))
 		if _, reason := after.Current(); reason == dogwoodford.ReasonNone {
 			t.Errorf("%s: the target is used before its heartbeat", name)
 		}
@@ -58,7 +58,7 @@
 	t.Helper()
 	s := testState(t, func() int64 { return 1 })
 	for i := range others {
-		s.put(dogfleet.Entry{Node: fmt.Sprintf("rounds-%d", i+2), Service: "rounds", Peer: fmt.Sprintf("10.0.0.%d:81", i+2)}, 1)
+		s.put(dogfleet.Entry{Node: fmt.Sprintf("rounds-%d", i+2), Service: "rounds", Peer: fmt.Sprintf("10.0.0.%d:81", i+2)}, rev(1))
 	}
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 100, Sequence: 1, Slots: 4})
 	return s
@@ -82,7 +82,7 @@
 			s.departureCopied(fmt.Sprintf("rounds-%d", i+2), d)
 		}
 	}
-	write := time.AfterFunc(tc.write, func() { s.put(s.entry(), 3) })
+	write := time.AfterFunc(tc.write, func() { s.put(s.entry(), rev(3)) })
 	defer write.Stop()
 	start := time.Now()
 	if err := depart(s); !errors.Is(err, tc.err) {
@@ -139,7 +139,7 @@
 			s := testState(t, func() int64 { return 1 })
 			beat := present
 			beat.Draining = tc.drained
-			time.AfterFunc(time.Millisecond, func() { s.put(s.entry(), 3) })
+			time.AfterFunc(time.Millisecond, func() { s.put(s.entry(), rev(3)) })
 			receiveHeartbeat(s, beat)
 			beat.Born, beat.Sequence, beat.Draining = tc.born, tc.sequence, true
 			if _, err := s.ReceiveHeartbeat(t.Context(), beat); !errors.Is(err, tc.err) {
@@ -174,11 +174,11 @@
 	var others []*peers
 	for _, name := range []string{"rounds-2", "rounds-3"} {
 		p, e := newDepartureNode(t, name)
-		p.state.put(own, 1)
-		before.state.put(e, 1)
+		p.state.put(own, rev(1))
+		before.state.put(e, rev(1))
 		others = append(others, p)
 	}
-	before.state.put(own, 1)
+	before.state.put(own, rev(1))
 	receiveHeartbeat(before.state, beat)
 	if err := before.state.Leave(t.Context(), "i-1"); err != nil {
 		t.Fatal(err)
@@ -187,7 +187,7 @@
 	beat.Sequence = 2
 	receiveHeartbeat(after.state, beat)
 	for _, p := range others {
-		p.state.put(again, 2)
+		p.state.put(again, rev(2))
 		p.returnDepartures(t.Context())
 	}
 	if _, reason := after.state.Current(); reason == dogwoodford.ReasonNone {
@@ -198,7 +198,7 @@
 		t.Errorf("the store is to hold departure %v in state %v, want %v", want.Departed, want.State, d)
 	}
 	for _, p := range others {
-		p.state.put(want, 3)
+		p.state.put(want, rev(3))
 		if left := p.state.departureCopies(); len(left) > 0 {
 			t.Errorf("%s keeps %v though the store holds it", p.state.settings.Node, left)
 		}
@@ -221,8 +221,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			f.objects["rounds-1"] = dogwoodford.Object{Name: "rounds-1", Version: 1, Value: data}
-			s.put(stored, 1)
+			f.objects["rounds-1"] = dogwoodford.StoreObject{Name: "rounds-1", Revision: rev(1), Value: data}
+			s.put(stored, rev(1))
 			s.setListed()
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
--- a/io/process/dogsidecar/explain_test.go
+++ b/io/process/dogsidecar/explain_test.go
@@ -98,7 +98,7 @@
 	case "entry":
 		state := map[string]dogwoodford.State{"ready": dogwoodford.StateReady, "draining": dogwoodford.StateDraining}[words[2]]
 		n.version++
-		n.state.put(dogfleet.Entry{Node: words[1], Service: "rounds", DataCentre: words[3], State: state, Slots: 10}, n.version)
+		n.state.put(dogfleet.Entry{Node: words[1], Service: "rounds", DataCentre: words[3], State: state, Slots: 10}, rev(n.version))
 	case "down":
 		n.state.MarkUnreachable(words[1], false)
 	case "load":
--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -75,7 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
-	f.objects["main"] = dogwoodford.Object{Name: "main", Version: f.revision, Value: []byte(value)}
+	f.objects["main"] = dogwoodford.StoreObject{Name: "main", Revision: f.present(), Value: []byte(value)}
 }
 
 // watch runs the watch of the configuration until the returned function is called.
@@ -162,7 +162,7 @@
 			n, f := newFreshNode("rounds-1"), &countingStore{fakeStore: newFakeStore()}
 			f.put("3")
 			for i := range nodes {
-				n.state.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, 1)
+				n.state.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, rev(1))
 			}
 			stop := n.watch(t, f)
 			for range 10 * 100 {
@@ -220,7 +220,7 @@
 	watches int
 }
 
-func (s *countingStore) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]dogwoodford.Change, int64, error) {
+func (s *countingStore) Watch(ctx context.Context, kind string, after dogwoodford.Revision, wait time.Duration) ([]dogwoodford.Change, dogwoodford.Revision, error) {
 	s.watches++
 	return s.fakeStore.Watch(ctx, kind, after, wait)
 }
@@ -232,11 +232,11 @@
 	n := newFreshNode("rounds-1")
 	defer n.logger.close()
 	v := &storeView{configs: n.configs}
-	object := func(revision int64, value string) dogwoodford.Object {
-		return dogwoodford.Object{Name: "main", Version: revision, Value: []byte(value)}
+	object := func(revision int64, value string) dogwoodford.StoreObject {
+		return dogwoodford.StoreObject{Name: "main", Revision: rev(revision), Value: []byte(value)}
 	}
-	list := func(objects ...dogwoodford.Object) { v.listed(objects) }
-	change := func(o dogwoodford.Object) { v.changed(dogwoodford.Change{Object: o}) }
+	list := func(objects ...dogwoodford.StoreObject) { v.listed(objects) }
+	change := func(o dogwoodford.StoreObject) { v.changed(dogwoodford.Change{Object: o}) }
 	var got []string
 	for _, step := range []struct {
 		name string
@@ -278,12 +278,12 @@
 	defer n.logger.close()
 	v := &storeView{configs: n.configs}
 	v.ask()
-	v.listed([]dogwoodford.Object{{Name: "main", Version: 1, Value: []byte("1")}})
+	v.listed([]dogwoodford.StoreObject{{Name: "main", Revision: rev(1), Value: []byte("1")}})
 	v.answered()
 	n.clock.suspend(time.Minute)
 	v.ask()
 	for i, value := range []string{"2", "3", "x"} {
-		v.changed(dogwoodford.Change{Object: dogwoodford.Object{Name: "main", Version: int64(i + 2), Value: []byte(value)}})
+		v.changed(dogwoodford.Change{Object: dogwoodford.StoreObject{Name: "main", Revision: rev(int64(i + 2)), Value: []byte(value)}})
 		if n.keys.Trusted(2) {
 			t.Errorf("keys of version 2 are trusted after %d changes", i+1)
 		}
@@ -310,7 +310,7 @@
 	defer voucher.logger.close()
 	defer n.logger.close()
 	addr := voucher.serve(t)
-	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, 1)
+	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, rev(1))
 	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
 	n.peers.transport = n.peers.kept
 
@@ -390,8 +390,8 @@
 		handler.ServeHTTP(w, r)
 	}))
 	defer srv.Close()
-	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: srv.Listener.Addr().String(), State: dogwoodford.StateReady}, 1)
-	n.state.put(dogfleet.Entry{Node: "rounds-1", Service: "rounds", Peer: "127.0.0.1:1", State: dogwoodford.StateReady}, 2)
+	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: srv.Listener.Addr().String(), State: dogwoodford.StateReady}, rev(1))
+	n.state.put(dogfleet.Entry{Node: "rounds-1", Service: "rounds", Peer: "127.0.0.1:1", State: dogwoodford.StateReady}, rev(2))
 	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
 	n.keys.observe(3, n.clock.read())
 	n.configs.offer([]byte("3"), "store")
@@ -420,7 +420,7 @@
 	voucher.keys.observe(3, voucher.clock.read())
 	voucher.configs.offer([]byte("3"), "store")
 	addr := voucher.serve(t)
-	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, 1)
+	n.state.put(dogfleet.Entry{Node: "depot-1", Service: "depot", Peer: addr, State: dogwoodford.StateReady}, rev(1))
 	n.peers.kept = dogconn.NewPeer(dogconn.Options{DialTimeout: time.Second})
 	n.keys.observe(3, n.clock.read())
 	n.configs.offer([]byte("3"), "store")
--- a/io/process/dogsidecar/peers.go
+++ b/io/process/dogsidecar/peers.go
@@ -66,11 +66,16 @@
 // not send it.
 const headerNode = dogcall.Prefix + "Node"
 
-// versionedEntry is an entry with its version in the store, as nodes send it to
-// each other.
+// versionedEntry is an entry with its revision in the store, as nodes send it to each
+// other. Those of earlier builds send no era, and ignore it.
 type versionedEntry struct {
 	Entry   dogfleet.Entry `json:"entry"`
-	Version int64          `json:"version"`
+	Version int64          `json:"version"` // Number of the revision.
+	Era     int64          `json:"era,omitempty"`
+}
+
+func newVersionedEntry(e dogfleet.Entry, r dogwoodford.Revision) versionedEntry {
+	return versionedEntry{Entry: e, Version: r.Number(), Era: r.Era()}
 }
 
 // peers makes and answers control requests between nodes.
@@ -196,11 +201,11 @@
 
 // removeStale makes one attempt to remove each entry that is stale.
 func (p *peers) removeStale(ctx context.Context) {
-	for name, version := range p.state.stale() {
+	for name, revision := range p.state.stale() {
 		writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := p.store.Delete(writeCtx, targetKind, name, version)
+		err := p.store.Delete(writeCtx, targetKind, name, revision)
 		cancel()
-		p.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Int64("revision", version), doglog.Err(err))
+		p.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Any("revision", revision), doglog.Err(err))
 		if err == nil || errors.Is(err, dogwoodford.ErrNotFound) || errors.Is(err, dogwoodford.ErrConflict) {
 			// The watch reports the change, or an entry that the node wrote since.
 			p.state.forget(name)
@@ -244,7 +249,7 @@
 	}
 	for _, v := range entries {
 		if v.Entry.Valid() {
-			p.state.put(v.Entry, v.Version)
+			p.state.putFromNode(v)
 		}
 	}
 }
--- a/io/process/dogsidecar/peers_test.go
+++ b/io/process/dogsidecar/peers_test.go
@@ -20,7 +20,7 @@
 	silent bool
 }
 
-func (s *silentStore) Delete(ctx context.Context, _, _ string, _ int64) error {
+func (s *silentStore) Delete(ctx context.Context, _, _ string, _ dogwoodford.Revision) error {
 	if !s.silent {
 		return nil
 	}
@@ -33,7 +33,7 @@
 func staleState(t *testing.T) *state {
 	s := testState(t, func() int64 { return 1 })
 	for i := range 5 {
-		s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, int64(i+1))
+		s.put(dogfleet.Entry{Node: fmt.Sprint("depot-", i), Service: "depot", State: dogwoodford.StateReady}, rev(int64(i+1)))
 	}
 	s.MarkUnreachable("depot-1", true)
 	time.Sleep(31 * time.Second)
@@ -109,7 +109,7 @@
 	addr := receiver.Listener.Addr().String()
 	for i, node := range []string{"depot-1", "depot-9"} {
 		e := dogfleet.Entry{Node: node, Service: "depot", Peer: addr, State: dogwoodford.StateReady}
-		s.put(e, int64(i+1))
+		s.put(e, rev(int64(i+1)))
 		if got, want := p.isAlive(e), node == "depot-9"; got != want {
 			t.Errorf("%s is alive: %v, want %v", node, got, want)
 		}
--- a/io/process/dogsidecar/quota_test.go
+++ b/io/process/dogsidecar/quota_test.go
@@ -95,7 +95,7 @@
 	t.Cleanup(log.close)
 	st := newState(s, log, func() int64 { return 1 })
 	for j := range n {
-		st.put(quotaEntry(j), 1)
+		st.put(quotaEntry(j), rev(1))
 	}
 	st.setListed()
 	transport := dogconn.NewPeer(dogconn.Options{MaxConns: 1, IdleTimeout: time.Millisecond, DialTimeout: dialTimeout})
--- a/io/process/dogsidecar/ramp_test.go
+++ b/io/process/dogsidecar/ramp_test.go
@@ -87,7 +87,7 @@
 func putOther(s *state) {
 	s.put(dogfleet.Entry{
 		Node: "rounds-2", Service: "rounds", Peer: "10.0.0.2:81", State: dogwoodford.StateReady, Slots: 40,
-	}, 1)
+	}, rev(1))
 }
 
 // TestRampOfWaitingTarget guards against a service that starts far too slowly after a loss of
--- a/io/process/dogsidecar/sidecar_test.go
+++ b/io/process/dogsidecar/sidecar_test.go
@@ -29,8 +29,9 @@
 // fakeStore is an in-memory store that can fail or lose changes.
 type fakeStore struct {
 	mu          sync.Mutex
+	era         int64
 	revision    int64
-	objects     map[string]dogwoodford.Object
+	objects     map[string]dogwoodford.StoreObject
 	dropChanges bool  // Watches return no changes.
 	err         error // Returned by all calls.
 	lists       int
@@ -38,62 +39,71 @@
 	removals    atomic.Int64
 }
 
-func (f *fakeStore) List(context.Context, string) ([]dogwoodford.Object, int64, error) {
+func (f *fakeStore) List(context.Context, string) ([]dogwoodford.StoreObject, dogwoodford.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
-	var out []dogwoodford.Object
+	var out []dogwoodford.StoreObject
 	for _, o := range f.objects {
 		out = append(out, o)
 	}
-	return out, f.revision, f.err
+	return out, f.present(), f.err
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]dogwoodford.Change, int64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after dogwoodford.Revision, wait time.Duration) ([]dogwoodford.Change, dogwoodford.Revision, error) {
 	select {
 	case <-ctx.Done():
-		return nil, 0, fmt.Errorf("watch: %w: %w", dogwoodford.ErrUnavailable, ctx.Err())
+		return nil, dogwoodford.Revision{}, fmt.Errorf("watch: %w: %w", dogwoodford.ErrUnavailable, ctx.Err())
 	case <-time.After(wait):
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.err != nil {
-		return nil, 0, f.err
+		return nil, dogwoodford.Revision{}, f.err
+	}
+	if after.Era() < f.era {
+		return nil, dogwoodford.Revision{}, dogwoodford.ErrCompacted
 	}
 	if f.dropChanges {
 		return nil, after, nil
 	}
 	var out []dogwoodford.Change
 	for _, o := range f.objects {
-		if o.Version > after {
+		if o.Revision.Compare(after) > 0 {
 			out = append(out, dogwoodford.Change{Object: o})
 		}
 	}
-	return out, f.revision, nil
+	return out, f.present(), nil
 }
 
-func (f *fakeStore) Put(_ context.Context, _, name string, expected int64, value []byte) (int64, error) {
+func (f *fakeStore) Put(_ context.Context, _, name string, expected dogwoodford.Revision, value []byte) (dogwoodford.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.writes++
 	if f.err != nil {
-		return 0, f.err
+		return dogwoodford.Revision{}, f.err
 	}
-	if f.objects[name].Version != expected {
-		return 0, dogwoodford.ErrConflict
+	if f.objects[name].Revision != expected {
+		return dogwoodford.Revision{}, dogwoodford.ErrConflict
 	}
 	f.revision++
-	f.objects[name] = dogwoodford.Object{Name: name, Version: f.revision, Value: value}
-	return f.revision, nil
+	f.objects[name] = dogwoodford.StoreObject{Name: name, Revision: f.present(), Value: value}
+	return f.present(), nil
 }
 
-func (f *fakeStore) Delete(context.Context, string, string, int64) error {
+func (f *fakeStore) Delete(context.Context, string, string, dogwoodford.Revision) error {
 	f.removals.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.err
 }
 
+// present returns the revision of the store. The caller must hold f.mu.
+func (f *fakeStore) present() dogwoodford.Revision { return dogwoodford.NewRevision(f.era, f.revision) }
+
+// rev returns the revision of a change in the first era of a fakeStore.
+func rev(number int64) dogwoodford.Revision { return dogwoodford.NewRevision(0, number) }
+
 func (f *fakeStore) setError(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,7 +117,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, objects: make(map[string]dogwoodford.Object)}
+	return &fakeStore{revision: 1, objects: make(map[string]dogwoodford.StoreObject)}
 }
 
 func testSettings() Settings {
@@ -151,7 +161,7 @@
 		defer log.close()
 		w := &kindWatcher{
 			kind: "k", wait: waitLong, store: f, log: log,
-			listed: func([]dogwoodford.Object) {}, changed: func(dogwoodford.Change) {},
+			listed: func([]dogwoodford.StoreObject) {}, changed: func(dogwoodford.Change) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -160,14 +170,14 @@
 		f.mu.Lock()
 		f.dropChanges, f.revision = true, 9
 		f.mu.Unlock()
-		w.restartIfBehind(1) // Not newer.
+		w.restartIfBehind(rev(1)) // Not newer.
 		time.Sleep(time.Second)
 		if f.listed() != 1 {
 			t.Errorf("%d lists before a change, want 1", f.listed())
 		}
-		w.restartIfBehind(9)
+		w.restartIfBehind(rev(9))
 		time.Sleep(time.Second)
-		w.restartIfBehind(9) // Already listed.
+		w.restartIfBehind(rev(9)) // Already listed.
 		time.Sleep(time.Second)
 		if f.listed() != 2 {
 			t.Errorf("%d lists after a missed change, want 2", f.listed())
@@ -187,7 +197,7 @@
 		defer log.close()
 		w := &kindWatcher{
 			kind: "k", wait: waitLong, store: f, log: log,
-			listed: func([]dogwoodford.Object) {}, changed: func(dogwoodford.Change) {},
+			listed: func([]dogwoodford.StoreObject) {}, changed: func(dogwoodford.Change) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -260,14 +270,14 @@
 	s := testState(t, func() int64 { return 1 })
 	f := newFakeStore()
 	f.revision = 6
-	f.objects["rounds-1"] = dogwoodford.Object{Name: "rounds-1", Version: 6, Value: []byte(`{"node":"rounds-1","state":2}`)}
+	f.objects["rounds-1"] = dogwoodford.StoreObject{Name: "rounds-1", Revision: rev(6), Value: []byte(`{"node":"rounds-1","state":2}`)}
 	a := &announcer{state: s, store: f, log: s.log, sendEntry: ignoreEntry}
 	s.setListed()
 	receiveHeartbeat(s, dogtarget.Heartbeat{ID: "i-1", Service: "rounds", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Slots: 4})
 	if err := a.write(t.Context()); err == nil {
 		t.Error("overwrote an entry that was not seen")
 	}
-	s.put(dogfleet.Entry{Node: "rounds-1", State: dogwoodford.StateDraining}, 6)
+	s.put(dogfleet.Entry{Node: "rounds-1", State: dogwoodford.StateDraining}, rev(6))
 	if err := a.write(t.Context()); err != nil {
 		t.Errorf("write after the entry was seen: %v", err)
 	}
@@ -376,7 +386,7 @@
 		s := testState(t, func() int64 { return 1 })
 		var probes atomic.Int64
 		s.probeAlive = func(dogfleet.Entry) bool { return probes.Add(1) < 2 }
-		s.put(dogfleet.Entry{Node: "depot-1", Service: "depot", State: dogwoodford.StateReady}, 1)
+		s.put(dogfleet.Entry{Node: "depot-1", Service: "depot", State: dogwoodford.StateReady}, rev(1))
 		alive := s.NodeContext("depot-1")
 		s.RequestSent("depot-1")
 		time.Sleep(200 * time.Millisecond)
--- a/io/process/dogsidecar/storeview.go
+++ b/io/process/dogsidecar/storeview.go
@@ -14,10 +14,10 @@
 // nothing unless the object is the one that was last read.
 type storeView struct {
 	configs  *configs
-	moment   time.Duration        // Moment before the last question.
-	revision int64                // Revision of the object that was last read, 0 if there was none.
-	changes  []dogwoodford.Object // Changes of the answer, oldest first.
-	version  int64                // Version that is in force by it, 0 if that is not known.
+	moment   time.Duration             // Moment before the last question.
+	revision dogwoodford.Revision      // Of the object that was last read, zero if there was none.
+	changes  []dogwoodford.StoreObject // Changes of the answer, oldest first.
+	version  int64                     // Version that is in force by it, 0 if that is not known.
 }
 
 // ask notes the moment before a question.
@@ -47,7 +47,7 @@
 func (v *storeView) vouches() bool { return v.version > 0 }
 
 // listed takes all objects of a list.
-func (v *storeView) listed(objects []dogwoodford.Object) {
+func (v *storeView) listed(objects []dogwoodford.StoreObject) {
 	_, name := v.configs.dialect.ConfigObject()
 	found := false
 	for _, o := range objects {
@@ -55,14 +55,14 @@
 			continue
 		}
 		found = true
-		if o.Version != v.revision {
+		if o.Revision != v.revision {
 			v.version = 0
 		}
-		v.revision = o.Version
+		v.revision = o.Revision
 		v.take(o)
 	}
 	if !found {
-		v.revision, v.version = 0, 0
+		v.revision, v.version = dogwoodford.Revision{}, 0
 	}
 }
 
@@ -76,12 +76,12 @@
 		v.take(c.Object)
 		return
 	}
-	v.revision = c.Object.Version
+	v.revision = c.Object.Revision
 	v.changes = append(v.changes, c.Object)
 }
 
 // take puts an object in force if it is valid and newer, and reports whether it is valid.
-func (v *storeView) take(o dogwoodford.Object) bool {
+func (v *storeView) take(o dogwoodford.StoreObject) bool {
 	t, spec, ok := v.configs.parse(o.Value, "store")
 	if !ok {
 		return false
--- a/io/process/dogsidecar/view.go
+++ b/io/process/dogsidecar/view.go
@@ -16,9 +16,9 @@
 const targetKind = "dogwoodford-targets"
 
 // put records an entry of the store and the crashes that it reports.
-func (s *state) put(e dogfleet.Entry, version int64) {
+func (s *state) put(e dogfleet.Entry, revision dogwoodford.Revision) {
 	s.mu.Lock()
-	isNew := s.fleet.Put(time.Now(), e, version)
+	isNew := s.fleet.Put(time.Now(), e, revision)
 	s.recordCrashes(e)
 	s.adoptReports(e)
 	if e.Node == s.settings.Node {
@@ -31,18 +31,30 @@
 	s.mu.Unlock()
 	if isNew {
 		s.log.event(doglog.EntrySeen, slog.String("peer", e.Node), slog.String("service", e.Service),
-			slog.String("state", e.State.String()), slog.Int64("revision", version))
+			slog.String("state", e.State.String()), slog.Any("revision", revision))
 	}
 	if e.Node == s.settings.Node {
 		s.wakeAnnouncer()
 	}
 }
 
-func (s *state) remove(name string, version int64) {
+// putFromNode records an entry that another node sent. One without an era, of an earlier
+// build, is taken for one of the era of the known entry.
+func (s *state) putFromNode(v versionedEntry) {
 	s.mu.Lock()
-	s.fleet.Remove(name, version)
+	if v.Era == 0 {
+		_, known, _ := s.fleet.Entry(v.Entry.Node)
+		v.Era = known.Era()
+	}
+	s.mu.Unlock()
+	s.put(v.Entry, dogwoodford.NewRevision(v.Era, v.Version))
+}
+
+func (s *state) remove(name string, revision dogwoodford.Revision) {
+	s.mu.Lock()
+	s.fleet.Remove(name, revision)
 	s.mu.Unlock()
-	s.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Int64("revision", version))
+	s.log.event(doglog.EntryRemoved, slog.String("peer", name), slog.Any("revision", revision))
 	if name == s.settings.Node {
 		s.wakeAnnouncer()
 	}
@@ -52,9 +64,7 @@
 func (s *state) forget(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, version, ok := s.fleet.Entry(name); ok {
-		s.fleet.Remove(name, version+1)
-	}
+	s.fleet.Forget(name)
 }
 
 func (s *state) probes() []dogfleet.Entry {
@@ -63,7 +73,7 @@
 	return s.fleet.Probes(time.Now())
 }
 
-func (s *state) stale() map[string]int64 {
+func (s *state) stale() map[string]dogwoodford.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.fleet.Stale(time.Now())
@@ -74,19 +84,19 @@
 	defer s.mu.Unlock()
 	var out []versionedEntry
 	for _, name := range s.fleet.Names() {
-		e, version, _ := s.fleet.Entry(name)
-		out = append(out, versionedEntry{Entry: e, Version: version})
+		e, revision, _ := s.fleet.Entry(name)
+		out = append(out, newVersionedEntry(e, revision))
 	}
 	return out
 }
 
 // storedEntry returns the node's own entry as last seen in the store, with its
-// version, which is 0 if there is none.
-func (s *state) storedEntry() (dogfleet.Entry, int64) {
+// revision, which is zero if there is none.
+func (s *state) storedEntry() (dogfleet.Entry, dogwoodford.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, version, _ := s.fleet.Entry(s.settings.Node)
-	return e, version
+	e, revision, _ := s.fleet.Entry(s.settings.Node)
+	return e, revision
 }
 
 // randomPeers returns up to n other nodes in random order, and silent ones only if there
@@ -115,18 +125,18 @@
 
 // newEntryWatcher returns a watcher of the entries of all nodes in the store.
 func (s *state) newEntryWatcher(store dogwoodford.Store) *kindWatcher {
-	take := func(o dogwoodford.Object) {
+	take := func(o dogwoodford.StoreObject) {
 		var e dogfleet.Entry
 		if err := json.Unmarshal(o.Value, &e); err != nil || e.Node != o.Name || !e.Valid() {
 			s.log.event(doglog.ObjectInvalid, slog.String("name", o.Name), doglog.Err(err))
 			return
 		}
-		s.put(e, o.Version)
+		s.put(e, o.Revision)
 	}
 	return &kindWatcher{
 		kind: targetKind, wait: func() time.Duration { return entriesWait }, store: store, log: s.log,
 		pause: func() time.Duration { return dogpace.Pause(s.NodeCount()) }, asked: s.entriesAsked,
-		listed: func(objects []dogwoodford.Object) {
+		listed: func(objects []dogwoodford.StoreObject) {
 			names := make([]string, 0, len(objects))
 			for _, o := range objects {
 				names = append(names, o.Name)
@@ -139,7 +149,7 @@
 		},
 		changed: func(c dogwoodford.Change) {
 			if c.Deleted {
-				s.remove(c.Object.Name, c.Object.Version)
+				s.remove(c.Object.Name, c.Object.Revision)
 				return
 			}
 			take(c.Object)
--- a/io/process/dogsidecar/watch.go
+++ b/io/process/dogsidecar/watch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"dogwoodford"
@@ -44,23 +43,23 @@
 	store dogwoodford.Store
 	log   *logger
 	// listed is called with all objects after a list, changed with each change.
-	listed  func([]dogwoodford.Object)
+	listed  func([]dogwoodford.StoreObject)
 	changed func(dogwoodford.Change)
 	// onRevision, if set, is called with the new revision of the store after a
 	// watch call that returned no changes of this kind.
-	onRevision func(revision int64)
+	onRevision func(revision dogwoodford.Revision)
 	// asked, if set, is called before each call, and answered after the objects or changes
 	// of an answer were passed on.
 	asked, answered func()
 	// rest, if set, sleeps from a watch call without changes to the next.
 	rest func(ctx context.Context)
 
-	mu           sync.Mutex
-	cancelWatch  context.CancelFunc // Cancels the watch; nil while there is none.
-	storeLost    bool               // The last call failed.
-	lastRevision atomic.Int64       // Revision up to which changes were received.
+	storeLost bool // The last call failed; used by Serve only.
 
-	lastChecked int64 // Last revision for which restartIfBehind cancelled the watch.
+	mu          sync.Mutex
+	cancelWatch context.CancelFunc   // Cancels the watch; nil while there is none.
+	received    dogwoodford.Revision // Revision up to which changes were received.
+	lastChecked dogwoodford.Revision // Last revision for which restartIfBehind cancelled the watch.
 }
 
 // Serve implements suture.Service.
@@ -93,7 +92,9 @@
 		return err
 	}
 	w.recordSuccess(pause)
-	w.lastRevision.Store(revision)
+	if before := w.setReceived(revision); !before.IsZero() && before.Era() < revision.Era() {
+		w.log.event(doglog.StoreRestored, slog.String("kind", w.kind), slog.Any("before", before), slog.Any("revision", revision))
+	}
 	w.listed(objects)
 	call(w.answered)
 	ctx, stop := context.WithCancel(ctx)
@@ -103,7 +104,7 @@
 	for ctx.Err() == nil {
 		wait := w.wait()
 		call(w.asked)
-		changes, next, err := w.store.Watch(ctx, w.kind, w.lastRevision.Load(), wait)
+		changes, next, err := w.store.Watch(ctx, w.kind, revision, wait)
 		if err != nil && ctx.Err() != nil {
 			return nil // Cancelled by restartIfBehind.
 		}
@@ -115,10 +116,11 @@
 			w.changed(c)
 		}
 		call(w.answered)
-		before := w.lastRevision.Swap(next)
-		if len(changes) == 0 && next > before && w.onRevision != nil {
+		w.setReceived(next)
+		if len(changes) == 0 && next.Compare(revision) > 0 && w.onRevision != nil {
 			w.onRevision(next)
 		}
+		revision = next
 		if len(changes) > 0 {
 			dogserve.Sleep(ctx, w.pause())
 		} else if w.rest != nil {
@@ -141,16 +143,25 @@
 	w.cancelWatch = stop
 }
 
+// setReceived sets the revision up to which changes were received, and returns the one
+// before.
+func (w *kindWatcher) setReceived(r dogwoodford.Revision) (before dogwoodford.Revision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before, w.received = w.received, r
+	return before
+}
+
 // restartIfBehind cancels the watch if the store has reached a revision that
 // the watch has not received, so that the objects are listed again. It does so
 // at most once for a revision.
-func (w *kindWatcher) restartIfBehind(revision int64) {
-	if revision <= w.lastRevision.Load() {
-		return
-	}
+func (w *kindWatcher) restartIfBehind(revision dogwoodford.Revision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancelWatch != nil && w.lastChecked < revision {
+	if revision.Compare(w.received) <= 0 {
+		return
+	}
+	if w.cancelWatch != nil && w.lastChecked.Compare(revision) < 0 {
 		w.lastChecked = revision
 		w.cancelWatch()
 	}
