dogrelay, tests: shorter functions and files

No change of behaviour; the order of ConfigSeen and of the report's other parts does not matter, as each takes its own lock.

--- a/io/process/dogsidecar/drill_test.go
+++ b/io/process/dogsidecar/drill_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,23 +13,6 @@
 	"dogwoodford/core/process/dogtarget"
 )
 
-// copyOf returns a function that puts f back to its present state, in the next era.
-func (f *fakeStore) copyOf() (restore func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	revision, objects := f.revision, maps.Clone(f.objects)
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.era++
-		f.revision, f.objects = revision, make(map[string]dogwoodford.StoreObject)
-		for name, o := range objects {
-			o.Revision = dogwoodford.NewRevision(f.era, o.Revision.Number())
-			f.objects[name] = o
-		}
-	}
-}
-
 // TestEntryAfterDrill guards against a node whose entry has a lower number in a store that
 // came back from a copy than before. The node ignored the entry of the copy, took its own
 // for written, and could not write it any more.
--- a/io/process/dogsidecar/fresh_test.go
+++ b/io/process/dogsidecar/fresh_test.go
@@ -70,14 +70,6 @@
 // trusted reports whether keys of the version in force are trusted.
 func (n *freshNode) trusted() bool { return n.keys.Trusted(n.configs.tables.Version()) }
 
-// put writes a configuration of the store.
-func (f *fakeStore) put(value string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	f.objects["main"] = dogwoodford.StoreObject{Name: "main", Revision: f.present(), Value: []byte(value)}
-}
-
 // watch runs the watch of the configuration until the returned function is called.
 func (n *freshNode) watch(t *testing.T, store dogwoodford.Store) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/io/request/dogrelay/send.go
+++ b/io/request/dogrelay/send.go
@@ -189,31 +189,41 @@
 	return dogwoodford.ReasonLost
 }
 
-// handlePeerResponse returns the result that the guard reports and reads the
-// body of its response.
-func (h *Handlers) handlePeerResponse(ctx context.Context, c *call, t dogwoodford.Target, resp *http.Response) *result {
-	res, version, err := parseAnswer(resp.Header)
-	if err != nil {
-		_ = resp.Body.Close()
+// recordReport records what the guard of t tells with a result: what its target said, the
+// runs of the class, which are added to res, the load, and whether it accepts requests.
+func (h *Handlers) recordReport(ctx context.Context, c *call, t dogwoodford.Target, in http.Header, res *result) {
+	malformed := func(err error) {
 		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
-		return unknownOutcome(dogwoodford.ReasonBadAnswer)
 	}
-	if a, err := parseAdvice(resp.Header); err != nil {
-		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+	if a, err := parseAdvice(in); err != nil {
+		malformed(err)
 	} else if res.outcome == dogwoodford.OutcomeRan {
 		h.advised.record(t.Node, a)
 	}
-	if res.runs, err = parseRuns(resp.Header); err != nil {
-		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+	var err error
+	if res.runs, err = parseRuns(in); err != nil {
+		malformed(err)
 	}
 	h.addRuns(c, t, res)
-	h.cfg.Fleet.ConfigSeen(version, t.Peer)
 	h.cfg.Pressure.AddReport(c.request(), t.Node, res.load.Cutoff, res.downstreamCutoff)
 	if res.reason == dogwoodford.ReasonNoTarget || res.reason == dogwoodford.ReasonDraining {
 		h.cfg.Fleet.MarkUnreachable(t.Node, false)
 	} else {
 		h.cfg.Fleet.MarkReachable(t.Node)
 	}
+}
+
+// handlePeerResponse returns the result that the guard reports and reads the
+// body of its response.
+func (h *Handlers) handlePeerResponse(ctx context.Context, c *call, t dogwoodford.Target, resp *http.Response) *result {
+	res, version, err := parseAnswer(resp.Header)
+	if err != nil {
+		_ = resp.Body.Close()
+		h.cfg.Log.Event(ctx, doglog.AnswerMalformed, idAttr(c.id), nodeAttr(t.Node), doglog.Err(err))
+		return unknownOutcome(dogwoodford.ReasonBadAnswer)
+	}
+	h.cfg.Fleet.ConfigSeen(version, t.Peer)
+	h.recordReport(ctx, c, t, resp.Header, res)
 	if res.outcome != dogwoodford.OutcomeRan {
 		_ = resp.Body.Close()
 		res.mayHaveArrived = res.outcome == dogwoodford.OutcomeUnknown || res.reason == dogwoodford.ReasonTargetShed
