--- a/revision.go
+++ b/revision.go
@@ -6,20 +6,21 @@
 	"log/slog"
 )
 
-// Revision is a state of a Store, or of an object by the state in which it was changed last.
-// It is the number of a change together with the era of the store: a store that comes back
-// from a copy has lost changes and gives their numbers out again, in a new era. Revisions
-// are comparable with ==. The zero value stands for an object that does not exist.
+// Revision identifies a state of a Store, by the change that led to it, or that of an object,
+// by its last change. It is the number of the change together with the era of the store: a
+// store that comes back from a copy has lost changes and gives their numbers out again, in a
+// new era. Revisions are comparable with ==. The zero value stands for an object that does
+// not exist.
 type Revision struct {
 	era    int64
 	number int64
 }
 
-// NewRevision returns the revision of the change with this number in an era. Eras and
-// numbers count from 1; era 0 stands for that of a store that does not name it.
+// NewRevision returns the revision of the change with this number, from 1 on, in an era. Era
+// 0 is that of a store that does not name it.
 func NewRevision(era, number int64) Revision { return Revision{era: era, number: number} }
 
-// Era returns how often the store had come back from a copy, and 1; 0 if it does not say.
+// Era returns the era, which rises by one when the store comes back from a copy.
 func (r Revision) Era() int64 { return r.era }
 
 // Number returns the number of the change within its era.
